--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3.11
+BIN := .venv/bin
+
+.PHONY: demo test check bench clean
+
+# Installed once; again whenever the pinned dependencies change.
+.venv/installed: pyproject.toml
+	test -d .venv || $(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --editable '.[develop]'
+	touch $@
+
+demo: .venv/installed
+	bash scripts/demo.sh
+
+test: .venv/installed
+	$(BIN)/python scripts/run_tests.py
+
+check: .venv/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 src tests scripts features
+	$(BIN)/lint-imports
+	$(BIN)/mypy
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/src/acaciaramp/cells/__init__.py
@@ -0,0 +1,1 @@
+"""Finds the owner of a program and carries requests to it."""
--- /dev/null
+++ b/src/acaciaramp/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: thin over library calls."""
--- /dev/null
+++ b/src/acaciaramp/cmd/serve.py
@@ -0,0 +1,26 @@
+"""``acaciaramp serve``: runs one instance."""
+
+from __future__ import annotations
+
+import click
+
+from acaciaramp.application import Application
+from acaciaramp.cmd.running import run_daemon
+from acaciaramp.settings.load import load_settings
+from acaciaramp.util.logs import configure_logs
+
+
+@click.command()
+@click.option(
+    '--settings',
+    'path',
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="File of the instance's settings (JSON with comments).",
+)
+def serve(path: str) -> None:
+    """Run one instance until SIGTERM or SIGINT; no request is cut."""
+    settings = load_settings(path)
+    configure_logs(settings.log_level)
+    application = Application(settings)
+    run_daemon(application.run)
--- /dev/null
+++ b/src/acaciaramp/cmd/settings.py
@@ -0,0 +1,28 @@
+"""``acaciaramp settings``: checks settings files."""
+
+from __future__ import annotations
+
+import click
+
+from acaciaramp.documents.registry import load_document
+from acaciaramp.settings.load import load_settings
+
+
+@click.group()
+def settings() -> None:
+    """Work with settings files."""
+
+
+@settings.command()
+@click.argument('path', metavar='FILE', type=click.Path(dir_okay=False))
+def check(path: str) -> None:
+    """Check a settings file and the document that it names.
+
+    Every mistake is shown in one go with its place.
+    """
+    loaded = load_settings(path)
+    document = load_document(loaded.document)
+    click.echo(
+        f'{path}: instance {loaded.instance} of environment '
+        f'{document.environment}, no mistakes'
+    )
--- /dev/null
+++ b/src/acaciaramp/documents/__init__.py
@@ -0,0 +1,1 @@
+"""The environment document: model, checks and lookups."""
--- /dev/null
+++ b/src/acaciaramp/documents/registry.py
@@ -0,0 +1,84 @@
+"""Lookups in the document that is in force."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from acaciaramp.documents.model import Document, Service, Workspace
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.settings.load import read_text
+from acaciaramp.util.checked import check
+
+if TYPE_CHECKING:
+    from acaciaramp.documents.model import Endpoint
+
+
+class Registry:
+    """One document with indexes by name and by key.
+
+    Attributes:
+        document: The document.
+        workspaces: Workspaces by name.
+        services: Services by name.
+        endpoints: Endpoints by id.
+    """
+
+    def __init__(self, document: Document) -> None:
+        """Build the indexes of ``document``."""
+        self.document = document
+        self.workspaces = {item.name: item for item in document.workspaces}
+        self.services = {item.name: item for item in document.services}
+        self.endpoints: dict[str, Endpoint] = {
+            endpoint.id: endpoint
+            for service in document.services
+            for endpoint in service.endpoints
+        }
+        self._workspace_by_key: dict[str, Workspace] = {
+            key: workspace
+            for workspace in document.workspaces
+            for key in workspace.keys
+        }
+
+    def workspace_of_key(self, key: str) -> Workspace | None:
+        """Return the workspace that ``key`` acts for, if any."""
+        return self._workspace_by_key.get(key_hash(key))
+
+    def service(self, name: str) -> Service:
+        """Return a service by name.
+
+        Raises:
+            CallError: No such service.
+        """
+        found = self.services.get(name)
+        if found is None:
+            raise CallError(
+                ErrorCode.UNKNOWN_SERVICE, f'there is no service "{name}"'
+            )
+        return found
+
+    def open_workspace(
+        self, service: str, method: str, path: str
+    ) -> Workspace | None:
+        """Return the workspace of an open route, None if a key is needed."""
+        for route in self.document.routes:
+            if route.service != service or method not in route.methods:
+                continue
+            if path.startswith(route.prefix):
+                return self.workspaces[route.workspace]
+        return None
+
+
+def key_hash(key: str) -> str:
+    """Return the form in which a key stands in the document."""
+    return f'sha256:{hashlib.sha256(key.encode()).hexdigest()}'
+
+
+def load_document(path: str) -> Document:
+    """Return the checked document of the file at ``path``.
+
+    Raises:
+        FileError: The file cannot be read.
+        CheckError: The document has mistakes; all are named.
+    """
+    return check(Document, read_text(path), path)
--- /dev/null
+++ b/src/acaciaramp/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of endpoints: model engines and plain services."""
--- /dev/null
+++ b/src/acaciaramp/endpoints/sending.py
@@ -0,0 +1,30 @@
+"""Picks the client that fits the kind of a call."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from acaciaramp.programs.records import StepKind
+
+if TYPE_CHECKING:
+    from acaciaramp.documents.model import Endpoint
+    from acaciaramp.endpoints.calls import Call, PieceSink, Sender
+    from acaciaramp.endpoints.engine import EngineClient
+    from acaciaramp.endpoints.plain import PlainClient
+    from acaciaramp.programs.records import Answer
+
+
+def make_sender(engine: EngineClient, plain: PlainClient) -> Sender:
+    """Return the function that sends any call to its endpoint.
+
+    Args:
+        engine: Client of model engines.
+        plain: Client of plain services.
+    """
+
+    async def send(endpoint: Endpoint, call: Call, sink: PieceSink) -> Answer:
+        if call.request.kind is StepKind.CHAT:
+            return await engine.send(endpoint, call, sink)
+        return await plain.send(endpoint, call, sink)
+
+    return send
--- /dev/null
+++ b/src/acaciaramp/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The interface for callers: an ASGI application."""
--- /dev/null
+++ b/src/acaciaramp/entry/chat.py
@@ -0,0 +1,295 @@
+"""``POST /v1/chat/completions`` in the OpenAI chat format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from starlette.responses import StreamingResponse
+
+from acaciaramp.clock import MS_PER_SECOND
+from acaciaramp.documents.model import ServiceKind
+from acaciaramp.entry import auth, bodies, calls
+from acaciaramp.entry.answers import error_body, json_response
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.ids import ProgramId, ServiceName, StepNumber, WorkspaceId
+from acaciaramp.metrics.names import Counter
+from acaciaramp.programs.records import StepKind, StepRequest
+from acaciaramp.util import sse
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from starlette.requests import Request
+    from starlette.responses import Response
+
+    from acaciaramp.documents.model import Service, Workspace
+    from acaciaramp.entry.context import EntryContext
+    from acaciaramp.entry.following import StepReader
+    from acaciaramp.programs.records import Answer
+
+PROGRAM_HEADER = 'acaciaramp-program'
+STEP_HEADER = 'acaciaramp-step'
+KEY_HEADER = 'idempotency-key'
+_DONE = b'[DONE]'
+_ROLES = frozenset(
+    ('system', 'developer', 'user', 'assistant', 'tool', 'function')
+)
+_OWN_MEMBERS = frozenset(
+    (
+        'model',
+        'messages',
+        'stream',
+        'stream_options',
+        'max_tokens',
+        'max_completion_tokens',
+        'n',
+    )
+)
+_MOST_TOKENS = 1_000_000_000
+
+
+class MessageHead(msgspec.Struct):
+    """The members that every message has.
+
+    Attributes:
+        role: Who speaks.
+        content: What is said.
+    """
+
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+
+class StreamOptions(msgspec.Struct):
+    """Options of a streamed answer.
+
+    Attributes:
+        include_usage: Whether a last chunk tells the tokens used.
+    """
+
+    include_usage: bool = False
+
+
+class ChatBody(msgspec.Struct):
+    """The members of a chat request that acaciaramp reads itself.
+
+    Attributes:
+        model: The service.
+        messages: What is new in the conversation.
+        stream: Whether the answer is wanted in pieces.
+        stream_options: Options of a streamed answer.
+        max_tokens: Output limit.
+        max_completion_tokens: Output limit, by its newer name.
+        n: Number of answers; only one is made.
+    """
+
+    model: str
+    messages: list[msgspec.Raw]
+    stream: bool | None = None
+    stream_options: StreamOptions | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+
+
+async def complete_chat(ctx: EntryContext, req: Request) -> Response:
+    """Answer a chat request, whole or as a stream.
+
+    Raises:
+        CallError: The request was refused or failed.
+    """
+    workspace = auth.workspace_of(ctx, req)
+    raw = await bodies.read_body(ctx, req)
+    body = bodies.decode(raw, ChatBody)
+    step = _step_request(ctx, body, raw)
+    auth.check_key_stays_here(req, step.body + step.options)
+    target = _target(ctx, workspace, req)
+    reader = await calls.begin(ctx, workspace, target, step)
+    shape = _Shape(ctx, target, body)
+    if body.stream:
+        return await _stream_response(ctx, shape, reader)
+    answer = await calls.whole_answer(ctx, req, target, reader)
+    return json_response(shape.completion(answer), headers=_headers(target))
+
+
+def completion_of(
+    ctx: EntryContext, target: calls.Target, answer: Answer, model: str
+) -> Any:
+    """Return the whole answer of a model call in the chat format."""
+    body = ChatBody(model=model, messages=[])
+    return _Shape(ctx, target, body).completion(answer)
+
+
+class _Shape:
+    """Puts answers into the chat format."""
+
+    def __init__(
+        self, ctx: EntryContext, target: calls.Target, body: ChatBody
+    ) -> None:
+        self.target = target
+        self.wants_usage = bool(
+            body.stream_options and body.stream_options.include_usage
+        )
+        self._head = {
+            'id': f'chatcmpl-{target.program}-{target.number}',
+            'created': ctx.clock.wall_ms() // MS_PER_SECOND,
+            'model': body.model,
+        }
+
+    def completion(self, answer: Answer) -> Any:
+        choice = {
+            'index': 0,
+            'message': msgspec.Raw(answer.body),
+            'finish_reason': answer.finish_reason,
+            'logprobs': None,
+        }
+        return {
+            **self._head,
+            'object': 'chat.completion',
+            'choices': [choice],
+            'usage': _usage(answer),
+        }
+
+    def chunk(self, delta: bytes, finish_reason: str | None = None) -> bytes:
+        choice = {
+            'index': 0,
+            'delta': msgspec.Raw(delta),
+            'finish_reason': finish_reason,
+        }
+        return self._chunk(choices=[choice])
+
+    def usage_chunk(self, answer: Answer) -> bytes:
+        return self._chunk(choices=[], usage=_usage(answer))
+
+    def _chunk(self, **members: Any) -> bytes:
+        return sse.encode(
+            msgspec.json.encode(
+                {
+                    **self._head,
+                    'object': 'chat.completion.chunk',
+                    **members,
+                }
+            )
+        )
+
+
+async def _stream_response(
+    ctx: EntryContext, shape: _Shape, reader: StepReader
+) -> Response:
+    pieces = reader.pieces()
+    first = await anext(pieces, None)
+    return StreamingResponse(
+        _frames(ctx, shape, reader, first, pieces),
+        media_type='text/event-stream',
+        headers={**_headers(shape.target), 'cache-control': 'no-store'},
+    )
+
+
+async def _frames(
+    ctx: EntryContext,
+    shape: _Shape,
+    reader: StepReader,
+    first: bytes | None,
+    pieces: AsyncIterator[bytes],
+) -> AsyncIterator[bytes]:
+    is_ended = False
+    try:
+        yield shape.chunk(b'{"role":"assistant"}')
+        if first is not None:
+            yield shape.chunk(first)
+        async for piece in pieces:
+            yield shape.chunk(piece)
+        is_ended = True
+    except CallError as exc:
+        is_ended = True
+        ctx.metrics.count(Counter.REFUSED, exc.refusal.code)
+        yield sse.encode(msgspec.json.encode(error_body(exc.refusal)))
+        return
+    finally:
+        if not is_ended:
+            await calls.cancel(ctx, shape.target)
+    answer = await reader.whole()
+    yield shape.chunk(b'{}', answer.finish_reason)
+    if shape.wants_usage:
+        yield shape.usage_chunk(answer)
+    yield sse.encode(_DONE)
+
+
+def _target(
+    ctx: EntryContext, workspace: Workspace, req: Request
+) -> calls.Target:
+    program = req.headers.get(PROGRAM_HEADER)
+    step = req.headers.get(STEP_HEADER)
+    if program is None and step is None:
+        return calls.single_target(ctx, workspace, req.headers.get(KEY_HEADER))
+    if program is None or step is None:
+        raise CallError(
+            ErrorCode.BAD_REQUEST,
+            f'the headers {PROGRAM_HEADER} and {STEP_HEADER} go together',
+        )
+    return calls.Target(
+        WorkspaceId(workspace.name),
+        ProgramId(program),
+        StepNumber(bodies.step_number(step)),
+        is_single=False,
+        keep=True,
+    )
+
+
+def _step_request(ctx: EntryContext, body: ChatBody, raw: bytes) -> StepRequest:
+    service = _engine(ctx, body.model)
+    for message in body.messages:
+        head = bodies.decode(bytes(message), MessageHead)
+        if head.role not in _ROLES:
+            raise CallError(
+                ErrorCode.BAD_REQUEST, f'there is no role "{head.role}"'
+            )
+    if not body.messages:
+        raise CallError(ErrorCode.BAD_REQUEST, '"messages" is empty')
+    if body.n not in {None, 1}:
+        raise CallError(ErrorCode.BAD_REQUEST, 'only one answer is made: "n"')
+    members = bodies.decode(raw, dict[str, msgspec.Raw])
+    options = {
+        name: member
+        for name, member in members.items()
+        if name not in _OWN_MEMBERS
+    }
+    return StepRequest(
+        kind=StepKind.CHAT,
+        service=ServiceName(service.name),
+        repeatable=True,
+        body=bodies.encode(body.messages),
+        options=bodies.encode(options),
+        max_tokens=_max_tokens(body),
+    )
+
+
+def _engine(ctx: EntryContext, model: str) -> Service:
+    service = ctx.registry.services.get(model)
+    if service is None or service.kind is not ServiceKind.ENGINE:
+        raise CallError(ErrorCode.UNKNOWN_MODEL, f'there is no model "{model}"')
+    return service
+
+
+def _max_tokens(body: ChatBody) -> int:
+    limit = body.max_completion_tokens or body.max_tokens or 0
+    if not 0 <= limit <= _MOST_TOKENS:
+        raise CallError(ErrorCode.BAD_REQUEST, '"max_tokens" is out of range')
+    return limit
+
+
+def _usage(answer: Answer) -> Any:
+    return {
+        'prompt_tokens': answer.prompt_tokens,
+        'completion_tokens': answer.completion_tokens,
+        'total_tokens': answer.prompt_tokens + answer.completion_tokens,
+        'prompt_tokens_details': {'cached_tokens': answer.cached_tokens},
+    }
+
+
+def _headers(target: calls.Target) -> dict[str, str]:
+    return {
+        'acaciaramp-program': target.program,
+        'acaciaramp-step': str(target.number),
+    }
--- /dev/null
+++ b/src/acaciaramp/entry/programs.py
@@ -0,0 +1,244 @@
+"""Programs: creating, showing, reading steps again, ending."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from acaciaramp.entry import auth, bodies, calls
+from acaciaramp.entry.answers import json_response
+from acaciaramp.entry.chat import completion_of
+from acaciaramp.entry.following import StepReader
+from acaciaramp.entry.services import tool_response
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.ids import ProgramId, ServiceName, StepNumber, WorkspaceId
+from acaciaramp.programs import api
+from acaciaramp.programs.records import Budget, StepKind
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+    from starlette.responses import Response
+
+    from acaciaramp.documents.model import Workspace
+    from acaciaramp.entry.context import EntryContext
+    from acaciaramp.programs.records import Step
+
+_CREATED = 201
+
+
+class BudgetBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The budget that is asked for.
+
+    Attributes:
+        tokens: Tokens, None for the workspace's default.
+        calls: Calls, None for the workspace's default.
+    """
+
+    tokens: int | None = None
+    calls: int | None = None
+
+
+class CreateBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a request for a program.
+
+    Attributes:
+        service: The service it will call.
+        budget: Its budget.
+        parent: The program whose budget it is taken from.
+    """
+
+    service: str
+    budget: BudgetBody = BudgetBody()
+    parent: str | None = None
+
+
+class ProgramAnswer(msgspec.Struct, omit_defaults=True):
+    """The state of a program as callers see it.
+
+    Attributes:
+        program: Its id.
+        state: Whether it may go on.
+        budget: Its budget.
+        left: What is left of it.
+        next_step: The number of its next step.
+        end_reason: Why it ended.
+        history: Its steps, if asked for.
+    """
+
+    program: str
+    state: str
+    budget: Budget
+    left: Budget
+    next_step: int
+    end_reason: str | None = None
+    history: list[Any] | None = None
+
+
+async def create_program(ctx: EntryContext, req: Request) -> Response:
+    """Create a program, or return the one that the same key created.
+
+    Raises:
+        CallError: The request was refused.
+    """
+    workspace = auth.workspace_of(ctx, req)
+    body = bodies.decode(await bodies.read_body(ctx, req), CreateBody)
+    if min(body.budget.tokens or 0, body.budget.calls or 0) < 0:
+        raise CallError(ErrorCode.BAD_REQUEST, 'a budget is not negative')
+    await ctx.admission.admit(workspace)
+    view = await ctx.router.create(
+        api.Create(
+            program=_new_program(ctx, workspace, req, body),
+            workspace=WorkspaceId(workspace.name),
+            service=ServiceName(body.service),
+            tokens=body.budget.tokens,
+            calls=body.budget.calls,
+            parent=ProgramId(body.parent) if body.parent else None,
+        )
+    )
+    return json_response(_answer(view), _CREATED)
+
+
+async def show_program(ctx: EntryContext, req: Request) -> Response:
+    """Show a program, with its history if ``?history=1`` asks for it.
+
+    Raises:
+        CallError: There is no such program.
+    """
+    workspace = auth.workspace_of(ctx, req)
+    wants_history = req.query_params.get('history') == '1'
+    view = await _show(ctx, workspace, req, steps=wants_history)
+    answer = _answer(view)
+    if wants_history:
+        answer.history = [_history_entry(step) for step in view.steps]
+    return json_response(answer)
+
+
+async def explain_program(ctx: EntryContext, req: Request) -> Response:
+    """Tell what happened to a program, step by step.
+
+    Raises:
+        CallError: There is no such program.
+    """
+    workspace = auth.workspace_of(ctx, req)
+    view = await _show(ctx, workspace, req, steps=True)
+    answer = _answer(view)
+    answer.history = [_explanation(step) for step in view.steps]
+    return json_response(answer)
+
+
+async def read_step(ctx: EntryContext, req: Request) -> Response:
+    """Return the whole answer of a step again; wait if it is under way.
+
+    Raises:
+        CallError: There is no such step, or it failed.
+    """
+    workspace = auth.workspace_of(ctx, req)
+    await bodies.read_body(ctx, req)
+    target = calls.Target(
+        WorkspaceId(workspace.name),
+        ProgramId(req.path_params['program']),
+        StepNumber(bodies.step_number(req.path_params['step'])),
+        is_single=False,
+        keep=True,
+    )
+    view = await _show(ctx, workspace, req, steps=True)
+    reader = StepReader(ctx, target.workspace, target.program, target.number)
+    answer = await calls.whole_answer(ctx, req, target, reader)
+    step = next(
+        (step for step in view.steps if step.number == target.number), None
+    )
+    if step is None or step.request.kind is StepKind.TOOL:
+        return tool_response(answer)
+    return json_response(
+        completion_of(ctx, target, answer, step.request.service)
+    )
+
+
+async def end_program(ctx: EntryContext, req: Request) -> Response:
+    """End a program.
+
+    Raises:
+        CallError: There is no such program.
+    """
+    workspace = auth.workspace_of(ctx, req)
+    await ctx.router.end(
+        api.End(
+            program=ProgramId(req.path_params['program']),
+            workspace=WorkspaceId(workspace.name),
+        )
+    )
+    return json_response(_answer(await _show(ctx, workspace, req, steps=False)))
+
+
+async def _show(
+    ctx: EntryContext, workspace: Workspace, req: Request, *, steps: bool
+) -> api.View:
+    return await ctx.router.show(
+        api.Show(
+            program=ProgramId(req.path_params['program']),
+            workspace=WorkspaceId(workspace.name),
+            steps=steps,
+        )
+    )
+
+
+def _new_program(
+    ctx: EntryContext, workspace: Workspace, req: Request, body: CreateBody
+) -> ProgramId:
+    key = req.headers.get('idempotency-key')
+    if body.parent:
+        return ctx.router.child_of(ProgramId(body.parent), key)
+    if key:
+        owner = WorkspaceId(workspace.name)
+        return ctx.router.program_of_key(owner, f'program\n{key}')
+    return ctx.router.new_program()
+
+
+def _answer(view: api.View) -> ProgramAnswer:
+    reason = view.end_reason
+    return ProgramAnswer(
+        program=view.program,
+        state=view.state.value,
+        budget=view.granted,
+        left=view.left,
+        next_step=view.next_step,
+        end_reason=None if reason is None else reason.value,
+    )
+
+
+def _history_entry(step: Step) -> Any:
+    entry: dict[str, Any] = {
+        'step': step.number,
+        'kind': step.request.kind,
+        'service': step.request.service,
+        'state': step.state,
+    }
+    if step.request.kind is StepKind.CHAT:
+        entry['messages'] = msgspec.Raw(step.request.body)
+    else:
+        entry['method'] = step.request.method
+        entry['path'] = step.request.path
+        entry['body'] = step.request.body.decode('utf-8', 'replace')
+    if step.answer is not None:
+        entry['status'] = step.answer.status
+        entry['answer'] = step.answer.body.decode('utf-8', 'replace')
+        if step.request.kind is StepKind.CHAT:
+            entry['answer'] = msgspec.Raw(step.answer.body)
+    if step.refusal is not None:
+        entry['error'] = step.refusal
+    return entry
+
+
+def _explanation(step: Step) -> Any:
+    return {
+        'step': step.number,
+        'kind': step.request.kind,
+        'service': step.request.service,
+        'state': step.state,
+        'reserved': step.reserved,
+        'started_ms': step.started_ms,
+        'ended_ms': step.ended_ms,
+        'attempts': step.attempts,
+        'error': step.refusal,
+    }
--- /dev/null
+++ b/src/acaciaramp/errors.py
@@ -0,0 +1,99 @@
+"""The base class of all errors and the refusal that callers see."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from acaciaramp.verdicts import Verdict
+
+
+class AcaciarampError(Exception):
+    """Base class of every error that acaciaramp raises on purpose."""
+
+
+class ErrorCode(enum.Enum):
+    """Reasons for refusing or failing a call; each has its own counter."""
+
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    BODY_TIMEOUT = 'body_timeout'
+    KEY_MISSING = 'key_missing'
+    KEY_UNKNOWN = 'key_unknown'
+    KEY_IN_REQUEST = 'key_in_request'
+    FORBIDDEN = 'forbidden'
+    NOT_FOUND = 'not_found'
+    UNKNOWN_SERVICE = 'unknown_service'
+    UNKNOWN_MODEL = 'unknown_model'
+    UNKNOWN_PROGRAM = 'unknown_program'
+    UNKNOWN_STEP = 'unknown_step'
+    METHOD_NOT_ALLOWED = 'method_not_allowed'
+    STEP_CONFLICT = 'step_conflict'
+    STEP_SKIPPED = 'step_skipped'
+    PROGRAM_ENDED = 'program_ended'
+    TURN_LIMIT = 'turn_limit'
+    PROGRAM_LIMIT = 'program_limit'
+    BUDGET_EXHAUSTED = 'budget_exhausted'
+    RATE_LIMITED = 'rate_limited'
+    QUEUE_FULL = 'queue_full'
+    QUEUE_TIMEOUT = 'queue_timeout'
+    NO_ENDPOINT = 'no_endpoint'
+    ENDPOINT_FAILED = 'endpoint_failed'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    STREAM_RESTARTED = 'stream_restarted'
+    HOME_UNREACHABLE = 'home_unreachable'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    CANCELLED = 'cancelled'
+    SHUTTING_DOWN = 'shutting_down'
+    INTERNAL = 'internal'
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a call was refused or failed, as it travels and is recorded.
+
+    Attributes:
+        code: The reason.
+        message: A sentence for a person.
+        verdict: Whether the request may have run.
+        retry_after_ms: When a new try makes sense, in milliseconds.
+    """
+
+    code: ErrorCode
+    message: str
+    verdict: Verdict = Verdict.NOT_RUN
+    retry_after_ms: int | None = None
+
+
+class CallError(AcaciarampError):
+    """A call was refused or failed; carries what the caller is told.
+
+    Attributes:
+        refusal: The reason, the message and the verdict.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str,
+        verdict: Verdict = Verdict.NOT_RUN,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        """Create the error from the parts of its refusal."""
+        super().__init__(message)
+        self.refusal = Refusal(
+            code=code,
+            message=message,
+            verdict=verdict,
+            retry_after_ms=retry_after_ms,
+        )
+
+    @classmethod
+    def from_refusal(cls, refusal: Refusal) -> CallError:
+        """Return the error that stands for a recorded refusal."""
+        return cls(
+            refusal.code,
+            refusal.message,
+            refusal.verdict,
+            refusal.retry_after_ms,
+        )
--- /dev/null
+++ b/src/acaciaramp/fakes/instances.py
@@ -0,0 +1,79 @@
+"""The stand-in for the platform's instance list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from acaciaramp.membership.leaving import InstanceList, ListedInstance, Standing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from starlette.requests import Request
+
+    from acaciaramp.clock import Clock
+
+
+class FakeInstances:
+    """A list that lags: readers see each change only after a while.
+
+    ``GET /instances`` reads it; ``PUT /instances/ID`` with ``live`` or
+    ``leaving`` changes a row, ``DELETE /instances/ID`` removes it.
+    """
+
+    def __init__(self, names: Iterable[str], lag_ms: int, clock: Clock) -> None:
+        """Create the list with every instance live.
+
+        Args:
+            names: The instances.
+            lag_ms: How late changes are seen, milliseconds.
+            clock: Measures the lag.
+        """
+        self._lag_ms = lag_ms
+        self._clock = clock
+        self._rows = dict.fromkeys(names, Standing.LIVE)
+        self._versions = [(-lag_ms, dict(self._rows))]
+
+    def app(self) -> Starlette:
+        """Return the list's ASGI application."""
+        return Starlette(
+            routes=[
+                Route('/instances', self._read, methods=['GET']),
+                Route('/instances/{name}', self._put, methods=['PUT']),
+                Route('/instances/{name}', self._delete, methods=['DELETE']),
+            ]
+        )
+
+    def set(self, name: str, standing: Standing | None) -> None:
+        """Change a row; None removes it."""
+        if standing is None:
+            self._rows.pop(name, None)
+        else:
+            self._rows[name] = standing
+        self._versions.append((self._clock.now_ms(), dict(self._rows)))
+
+    async def _read(self, req: Request) -> Response:
+        newest_ms = self._clock.now_ms() - self._lag_ms
+        rows = self._versions[0][1]
+        for at_ms, version in self._versions:
+            if at_ms <= newest_ms:
+                rows = version
+        listed = [ListedInstance(name, rows[name]) for name in sorted(rows)]
+        return Response(
+            msgspec.json.encode(InstanceList(listed)),
+            media_type='application/json',
+        )
+
+    async def _put(self, req: Request) -> Response:
+        text = (await req.body()).decode().strip()
+        self.set(req.path_params['name'], Standing(text))
+        return Response(status_code=204)
+
+    async def _delete(self, req: Request) -> Response:
+        self.set(req.path_params['name'], None)
+        return Response(status_code=204)
--- /dev/null
+++ b/src/acaciaramp/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of workspaces."""
--- /dev/null
+++ b/src/acaciaramp/limits/bucket.py
@@ -0,0 +1,51 @@
+"""A token bucket with an injected clock."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from acaciaramp.clock import MS_PER_SECOND
+
+if TYPE_CHECKING:
+    from acaciaramp.clock import Clock
+
+
+class TokenBucket:
+    """Admits at most ``rate`` requests a second and ``burst`` at once."""
+
+    def __init__(self, rate: float, burst: int, clock: Clock) -> None:
+        """Create the full bucket.
+
+        Args:
+            rate: Tokens that come back in a second.
+            burst: Most tokens that the bucket holds.
+            clock: Source of time.
+        """
+        self._rate = rate
+        self._burst = burst
+        self._clock = clock
+        self._tokens = float(burst)
+        self._filled_ms = clock.now_ms()
+
+    def try_take(self) -> bool:
+        """Take one token if there is one."""
+        self._fill()
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def wait_ms(self) -> int | None:
+        """Return when the next token comes, None if none ever does."""
+        self._fill()
+        if self._burst < 1 or self._rate <= 0:
+            return None
+        missing = max(0.0, 1 - self._tokens)
+        return math.ceil(missing / self._rate * MS_PER_SECOND)
+
+    def _fill(self) -> None:
+        now_ms = self._clock.now_ms()
+        passed_s = (now_ms - self._filled_ms) / MS_PER_SECOND
+        self._tokens = min(self._burst, self._tokens + passed_s * self._rate)
+        self._filled_ms = now_ms
--- /dev/null
+++ b/src/acaciaramp/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances and endpoints are live, leaving or gone."""
--- /dev/null
+++ b/src/acaciaramp/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and timers sent to a statsd daemon."""
--- /dev/null
+++ b/src/acaciaramp/peering/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between instances."""
--- /dev/null
+++ b/src/acaciaramp/peering/link.py
@@ -0,0 +1,221 @@
+"""The link to one other instance: requests, heartbeats, reconnection."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import anyio
+import pynng
+
+from acaciaramp.errors import AcaciarampError, CallError, ErrorCode
+from acaciaramp.metrics.names import Counter, Timer
+from acaciaramp.peering.messages import (
+    PROTOCOL_VERSION,
+    FrameError,
+    ReplyFrame,
+    RequestFrame,
+    decode,
+    encode,
+)
+from acaciaramp.peering.server import LONGEST_FRAME_BYTES
+from acaciaramp.util.logs import get_logger
+from acaciaramp.verdicts import Verdict
+
+if TYPE_CHECKING:
+    from acaciaramp.clock import Clock
+    from acaciaramp.metrics.client import Metrics
+    from acaciaramp.programs import api
+
+logger = get_logger('peering')
+
+HEARTBEAT_MS = 500
+SILENCE_MS = 2_000
+_RECONNECT_MS = 100
+_RECONNECT_LONGEST_MS = 1_000
+
+
+class LinkLostError(AcaciarampError):
+    """The link was lost before the reply came."""
+
+
+class Link:
+    """Requests to one other instance over one connection at a time.
+
+    A connection that brings nothing within ``SILENCE_MS``, heartbeats
+    included, is closed and made anew.
+    """
+
+    def __init__(
+        self, instance: str, url: str, clock: Clock, metrics: Metrics
+    ) -> None:
+        """Create the link; ``run`` keeps it connected.
+
+        Args:
+            instance: The other instance.
+            url: Its inner address, ``tcp://IP:PORT``.
+            clock: Measures silence.
+            metrics: Counts opened and lost links.
+        """
+        self._instance = instance
+        self._url = url
+        self._clock = clock
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, _Pending] = {}
+        self._sock: pynng.Pair1 | None = None
+        self._connected = anyio.Event()
+        self._heard = anyio.Event()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether requests can be sent now."""
+        return self._sock is not None
+
+    async def request(self, body: api.Request, wait_ms: int) -> api.Reply:
+        """Return the other instance's reply.
+
+        Args:
+            body: The request.
+            wait_ms: Longest wait for the reply, milliseconds.
+
+        Raises:
+            CallError: The other instance refused, or could not be reached;
+                the verdict tells whether it may have got the request.
+        """
+        started_ms = self._clock.now_ms()
+        pending = _Pending()
+        try:
+            with self._clock.timeout(wait_ms):
+                reply = await self._exchange(body, pending)
+        except (TimeoutError, LinkLostError, pynng.NNGException):
+            raise CallError(
+                ErrorCode.HOME_UNREACHABLE,
+                f'instance "{self._instance}" does not answer',
+                pending.verdict,
+                retry_after_ms=SILENCE_MS,
+            ) from None
+        self._metrics.time(Timer.PEER, self._clock.now_ms() - started_ms)
+        if reply.refusal is not None:
+            raise CallError.from_refusal(reply.refusal)
+        if reply.body is None:
+            raise CallError(ErrorCode.INTERNAL, 'the reply is empty')
+        return reply.body
+
+    async def run(self) -> None:
+        """Keep the link connected until cancelled."""
+        pause_ms = _RECONNECT_MS
+        while True:
+            if await self._connect_once():
+                pause_ms = _RECONNECT_MS
+            await self._clock.sleep_ms(pause_ms)
+            pause_ms = min(2 * pause_ms, _RECONNECT_LONGEST_MS)
+
+    async def _connect_once(self) -> bool:
+        sock = pynng.Pair1()
+        sock.recv_max_size = LONGEST_FRAME_BYTES
+        sock.reconnect_time_min = 0
+        was_heard = False
+        try:
+            sock.dial(self._url, block=False)
+            await self._exchange_heartbeat(sock)
+            was_heard = True
+            self._open(sock)
+            await self._stay_connected(sock)
+        except (TimeoutError, pynng.NNGException):
+            if was_heard:
+                logger.warning('The link was lost.', instance=self._instance)
+                self._metrics.count(Counter.LINK_LOST)
+        finally:
+            self._close(sock)
+        return was_heard
+
+    async def _exchange_heartbeat(self, sock: pynng.Pair1) -> None:
+        with self._clock.timeout(SILENCE_MS):
+            await sock.asend(_heartbeat(0))
+            await sock.arecv()
+
+    async def _stay_connected(self, sock: pynng.Pair1) -> None:
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._send_heartbeats, sock)
+                tasks.start_soon(self._receive, sock)
+        except* (TimeoutError, pynng.NNGException):
+            raise TimeoutError from None
+
+    async def _send_heartbeats(self, sock: pynng.Pair1) -> None:
+        while True:
+            await self._clock.sleep_ms(HEARTBEAT_MS)
+            with self._clock.timeout(SILENCE_MS):
+                await sock.asend(_heartbeat(0))
+
+    async def _receive(self, sock: pynng.Pair1) -> None:
+        while True:
+            with self._clock.timeout(SILENCE_MS):
+                wire = await sock.arecv()
+            self._take(wire)
+
+    def _take(self, wire: bytes) -> None:
+        try:
+            frame = decode(wire)
+        except FrameError as exc:
+            self._metrics.count(Counter.LINK_REJECTED)
+            logger.warning('A frame was rejected.', reason=exc)
+            return
+        if isinstance(frame, ReplyFrame) and frame.number in self._waiting:
+            self._waiting[frame.number].resolve(frame)
+
+    def _open(self, sock: pynng.Pair1) -> None:
+        self._sock = sock
+        self._connected.set()
+        self._metrics.count(Counter.LINK_OPENED)
+        logger.info('The link is open.', instance=self._instance)
+
+    def _close(self, sock: pynng.Pair1) -> None:
+        if self._sock is not None:
+            self._sock = None
+            self._connected = anyio.Event()
+        sock.close()
+        for pending in self._waiting.values():
+            pending.resolve(None)
+
+    async def _exchange(
+        self, body: api.Request, pending: _Pending
+    ) -> ReplyFrame:
+        while self._sock is None:
+            await self._connected.wait()
+        number = next(self._numbers)
+        frame = RequestFrame(PROTOCOL_VERSION, number, body)
+        self._waiting[number] = pending
+        try:
+            pending.verdict = Verdict.MAY_HAVE_RUN
+            await self._sock.asend(encode(frame))
+            return await pending.wait()
+        finally:
+            self._waiting.pop(number)
+
+
+class _Pending:
+    """A request that waits for its reply."""
+
+    def __init__(self) -> None:
+        self.verdict = Verdict.NOT_RUN
+        self._reply: ReplyFrame | None = None
+        self._ready = anyio.Event()
+
+    def resolve(self, reply: ReplyFrame | None) -> None:
+        """Take the reply, or None when the link was lost."""
+        if not self._ready.is_set():
+            self._reply = reply
+            self._ready.set()
+
+    async def wait(self) -> ReplyFrame:
+        """Return the reply."""
+        await self._ready.wait()
+        if self._reply is None:
+            raise LinkLostError('the link was lost')
+        return self._reply
+
+
+def _heartbeat(number: int) -> bytes:
+    return encode(RequestFrame(PROTOCOL_VERSION, number, None))
--- /dev/null
+++ b/src/acaciaramp/peering/server.py
@@ -0,0 +1,96 @@
+"""Answers the requests of other instances."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import anyio
+import pynng
+
+from acaciaramp.errors import CallError, ErrorCode, Refusal
+from acaciaramp.metrics.names import Counter
+from acaciaramp.peering.messages import (
+    PROTOCOL_VERSION,
+    FrameError,
+    ReplyFrame,
+    RequestFrame,
+    decode,
+    encode,
+)
+from acaciaramp.programs import api
+from acaciaramp.util.logs import get_logger
+from acaciaramp.verdicts import Verdict
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from acaciaramp.metrics.client import Metrics
+
+logger = get_logger('peering')
+
+LONGEST_FRAME_BYTES = 67_108_864
+Handler = Callable[[api.Request], Awaitable[api.Reply]]
+
+
+async def serve_peers(
+    url: str,
+    handle: Handler,
+    metrics: Metrics,
+    *,
+    task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Answer requests until cancelled.
+
+    Args:
+        url: Where to listen, ``tcp://IP:PORT``.
+        handle: Carries out a request.
+        metrics: Counts rejected frames.
+        task_status: Told when the port is open.
+    """
+    with pynng.Pair1(polyamorous=True) as sock:
+        sock.recv_max_size = LONGEST_FRAME_BYTES
+        sock.listen(url)
+        task_status.started()
+        async with anyio.create_task_group() as tasks:
+            while True:
+                message = await sock.arecv_msg()
+                _take(message, handle, metrics, tasks)
+
+
+def _take(
+    message: pynng.Message,
+    handle: Handler,
+    metrics: Metrics,
+    tasks: TaskGroup,
+) -> None:
+    try:
+        frame = decode(message.bytes)
+    except FrameError as exc:
+        metrics.count(Counter.LINK_REJECTED)
+        logger.warning('A frame was rejected.', reason=exc)
+        return
+    if isinstance(frame, RequestFrame):
+        tasks.start_soon(_answer, message.pipe, frame, handle)
+
+
+async def _answer(
+    pipe: pynng.Pipe, frame: RequestFrame, handle: Handler
+) -> None:
+    body: api.Reply | None = None
+    refusal: Refusal | None = None
+    try:
+        if frame.body is not None:
+            body = await handle(frame.body)
+    except CallError as exc:
+        refusal = exc.refusal
+    except Exception as exc:
+        logger.error('A request failed unexpectedly.', error=repr(exc))
+        refusal = CallError(
+            ErrorCode.INTERNAL, 'an internal error', Verdict.MAY_HAVE_RUN
+        ).refusal
+    reply = ReplyFrame(PROTOCOL_VERSION, frame.number, body, refusal)
+    try:
+        await pipe.asend(encode(reply))
+    except pynng.NNGException:
+        logger.info('A reply found its link closed.')
--- /dev/null
+++ b/src/acaciaramp/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: order, history, budgets and the ledger of their calls."""
--- /dev/null
+++ b/src/acaciaramp/programs/create.py
@@ -0,0 +1,52 @@
+"""Makes the first record of a program from what was asked for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from acaciaramp.clock import MS_PER_SECOND
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.programs.records import Budget, Program
+
+if TYPE_CHECKING:
+    from acaciaramp.documents.registry import Registry
+    from acaciaramp.programs.api import Create
+
+
+def new_record(req: Create, registry: Registry, now_ms: int) -> Program:
+    """Return the first record of a program.
+
+    Args:
+        req: What was asked for.
+        registry: The document in force, for the workspace's limits.
+        now_ms: Wall time, milliseconds.
+
+    Raises:
+        CallError: The service is unknown or the budget too large.
+    """
+    registry.service(req.service)
+    limits = registry.workspaces[req.workspace].programs
+    granted = Budget(
+        tokens=limits.tokens if req.tokens is None else req.tokens,
+        calls=limits.calls if req.calls is None else req.calls,
+    )
+    if not Budget(limits.tokens, limits.calls).covers(granted):
+        raise CallError(
+            ErrorCode.BUDGET_EXHAUSTED,
+            f'a program of this workspace may have {limits.tokens} tokens '
+            f'and {limits.calls} calls at most',
+        )
+    return Program(
+        program=req.program,
+        workspace=req.workspace,
+        service=req.service,
+        granted=granted,
+        created_ms=now_ms,
+        deadline_ms=now_ms + limits.deadline_s * MS_PER_SECOND,
+        idle_ms=limits.idle_s * MS_PER_SECOND,
+        turns=limits.turns,
+        history_bytes=limits.history_bytes,
+        parent=req.parent,
+        single=req.single,
+        touched_ms=now_ms,
+    )
--- /dev/null
+++ b/src/acaciaramp/programs/dispatch.py
@@ -0,0 +1,185 @@
+"""Sends a step to endpoints until it has an answer or must not be repeated."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from acaciaramp.endpoints.calls import Call, EndpointError, Failure
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.metrics.names import Counter, Timer
+from acaciaramp.programs.commands import BeginAttempt, EndAttempt
+from acaciaramp.programs.history import messages_before
+from acaciaramp.programs.reserve import output_limit
+from acaciaramp.retries.backoff import backoff_ms
+from acaciaramp.retries.budget import RetryBudget
+from acaciaramp.util.logs import get_logger
+from acaciaramp.verdicts import Verdict, combine
+
+if TYPE_CHECKING:
+    from acaciaramp.clock import Clock
+    from acaciaramp.documents.model import Service
+    from acaciaramp.endpoints.calls import Sender
+    from acaciaramp.metrics.client import Metrics
+    from acaciaramp.programs.log import CommandLog
+    from acaciaramp.programs.records import Answer, Program, Step
+    from acaciaramp.programs.runs import Run
+    from acaciaramp.scheduling.scheduler import Placement, Scheduler
+    from acaciaramp.settings.model import Retries
+
+logger = get_logger('dispatch')
+
+
+class Dispatcher:
+    """Sends steps to endpoints, with retries where they are allowed."""
+
+    def __init__(
+        self,
+        *,
+        scheduler: Scheduler,
+        send: Sender,
+        retries: Retries,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Create the dispatcher.
+
+        Args:
+            scheduler: Chooses an endpoint for each attempt.
+            send: Sends one attempt.
+            retries: How failed attempts are repeated.
+            clock: Measures pauses and durations.
+            metrics: Counts retries by reason.
+            rng: Source of the jitter.
+        """
+        self._scheduler = scheduler
+        self._send = send
+        self._retries = retries
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng or random.Random()
+        self._budget = RetryBudget(retries.ratio, retries.reserve)
+
+    async def run(
+        self,
+        log: CommandLog,
+        service: Service,
+        record: Program,
+        step: Step,
+        run: Run,
+    ) -> Answer:
+        """Return the whole answer of a step.
+
+        Args:
+            log: Records each attempt before it is sent.
+            service: The service that the step calls.
+            record: The step's program.
+            step: The step.
+            run: Takes the pieces of the answer as they come.
+
+        Raises:
+            CallError: No attempt gave an answer; says whether one may have run.
+        """
+        self._budget.on_request()
+        while True:
+            placed = self._scheduler.place(service, record, step)
+            async with placed as placement:
+                try:
+                    return await self._attempt(
+                        log, service, record, step, run, placement
+                    )
+                except EndpointError as exc:
+                    error = exc
+            await self._prepare_retry(step, error)
+            run.restart()
+
+    async def _attempt(
+        self,
+        log: CommandLog,
+        service: Service,
+        record: Program,
+        step: Step,
+        run: Run,
+        placement: Placement,
+    ) -> Answer:
+        number = len(step.attempts)
+        await log.commit(
+            BeginAttempt(
+                program=record.program,
+                number=step.number,
+                attempt=number,
+                endpoint=placement.endpoint.id,
+                reason=placement.reason.value,
+                queued_ms=placement.queued_ms,
+            )
+        )
+        call = Call(
+            program=record.program,
+            request=step.request,
+            history=messages_before(record, step.number),
+            max_tokens=output_limit(record, step),
+            inactivity_ms=service.inactivity_ms,
+        )
+        started_ms = self._clock.now_ms()
+        try:
+            answer = await self._send(placement.endpoint, call, run.add)
+        except EndpointError as exc:
+            self._scheduler.report_failure(placement.endpoint, exc)
+            await log.commit(
+                EndAttempt(
+                    program=record.program,
+                    number=step.number,
+                    attempt=number,
+                    verdict=exc.verdict,
+                    failure=exc.failure.value,
+                )
+            )
+            raise
+        self._scheduler.report_success(placement.endpoint)
+        self._metrics.time(Timer.ENDPOINT, self._clock.now_ms() - started_ms)
+        return answer
+
+    async def _prepare_retry(self, step: Step, error: EndpointError) -> None:
+        if not self._is_retry_allowed(step, error):
+            raise _final_error(step, error)
+        if not self._budget.try_retry():
+            self._metrics.count(Counter.RETRY_DENIED, error.failure)
+            raise _final_error(step, error)
+        self._metrics.count(Counter.RETRIED, error.failure)
+        failed = len(step.attempts) - 1
+        pause_ms = backoff_ms(self._retries, failed, self._rng)
+        logger.info(
+            'The attempt failed and is repeated.',
+            failure=error.failure.value,
+            pause_ms=pause_ms,
+        )
+        await self._clock.sleep_ms(pause_ms)
+
+    def _is_retry_allowed(self, step: Step, error: EndpointError) -> bool:
+        if len(step.attempts) >= self._retries.attempts:
+            return False
+        if error.verdict is Verdict.RAN:
+            return False
+        return step.request.repeatable or error.verdict is Verdict.NOT_RUN
+
+
+def verdict_of(step: Step) -> Verdict:
+    """Return what is known of the execution of a step under way."""
+    verdict = Verdict.NOT_RUN
+    for attempt in step.attempts:
+        verdict = combine(verdict, attempt.verdict or Verdict.MAY_HAVE_RUN)
+    return verdict
+
+
+def _final_error(step: Step, error: EndpointError) -> CallError:
+    verdict = verdict_of(step)
+    if verdict is Verdict.NOT_RUN and error.failure is Failure.CONNECT:
+        return CallError(ErrorCode.NO_ENDPOINT, str(error), verdict)
+    if verdict is Verdict.MAY_HAVE_RUN and not step.request.repeatable:
+        return CallError(
+            ErrorCode.OUTCOME_UNKNOWN,
+            f'{error}; the call must not be repeated and was sent once',
+            verdict,
+        )
+    return CallError(ErrorCode.ENDPOINT_FAILED, str(error), verdict)
--- /dev/null
+++ b/src/acaciaramp/programs/home.py
@@ -0,0 +1,376 @@
+"""The home of programs: answers every request about those it owns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.ids import StepNumber
+from acaciaramp.metrics.names import Counter, Timer
+from acaciaramp.programs import api, expiry
+from acaciaramp.programs.commands import (
+    BeginStep,
+    CreateProgram,
+    EndProgram,
+    FailStep,
+    FinishStep,
+    ForgetProgram,
+)
+from acaciaramp.programs.create import new_record
+from acaciaramp.programs.dispatch import verdict_of
+from acaciaramp.programs.records import (
+    Answer,
+    EndReason,
+    Program,
+    ProgramState,
+    Step,
+    StepState,
+)
+from acaciaramp.programs.reserve import worst_case
+from acaciaramp.programs.runs import Run
+from acaciaramp.util.logs import get_logger
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from acaciaramp.clock import Clock
+    from acaciaramp.documents.registry import Registry
+    from acaciaramp.errors import Refusal
+    from acaciaramp.ids import ProgramId, WorkspaceId
+    from acaciaramp.metrics.client import Metrics
+    from acaciaramp.programs.dispatch import Dispatcher
+    from acaciaramp.programs.log import CommandLog
+    from acaciaramp.programs.machine import Programs
+    from acaciaramp.programs.releases import Releases
+    from acaciaramp.settings.model import Settings
+
+logger = get_logger('programs')
+
+
+class Home:
+    """Owns programs and runs their steps."""
+
+    def __init__(
+        self,
+        *,
+        state: Programs,
+        log: CommandLog,
+        registry: Registry,
+        dispatcher: Dispatcher,
+        releases: Releases,
+        settings: Settings,
+        clock: Clock,
+        metrics: Metrics,
+        tasks: TaskGroup,
+    ) -> None:
+        """Create the home.
+
+        Args:
+            state: The programs.
+            log: Makes every change durable before it is applied.
+            registry: The document in force.
+            dispatcher: Sends steps to endpoints.
+            releases: Frees engine memory of programs that have ended.
+            settings: Longest waits and the most programs.
+            clock: Source of time.
+            metrics: Counts steps and programs.
+            tasks: Where steps run.
+        """
+        self._state = state
+        self._log = log
+        self._registry = registry
+        self._dispatcher = dispatcher
+        self._releases = releases
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._tasks = tasks
+        self._runs: dict[tuple[ProgramId, StepNumber], Run] = {}
+
+    @property
+    def running(self) -> int:
+        """How many steps are under way."""
+        return len(self._runs)
+
+    async def create(self, req: api.Create) -> api.View:
+        """Create a program, or return the one that the request made before.
+
+        Raises:
+            CallError: The budget, the parent or the service does not allow it.
+        """
+        existing = self._state.by_id.get(req.program)
+        if existing is not None:
+            _check_same(existing, req)
+            return _view(existing, steps=False)
+        if len(self._state.by_id) >= self._settings.programs:
+            raise CallError(
+                ErrorCode.PROGRAM_LIMIT,
+                'this instance holds as many programs as it may',
+                retry_after_ms=self._settings.waits.queue_ms,
+            )
+        if req.parent is not None:
+            self._owned(req.parent, req.workspace)
+        record = new_record(req, self._registry, self._clock.wall_ms())
+        await self._log.commit(CreateProgram(record))
+        self._metrics.count(Counter.PROGRAM_CREATED)
+        return _view(record, steps=False)
+
+    async def submit(self, req: api.Submit) -> api.Done:
+        """Begin a step, or join the same step if it began before.
+
+        Raises:
+            CallError: Order, budget, limits or another body forbid it.
+        """
+        record = self._owned(req.program, req.workspace)
+        await self._wait_previous(record, req.number)
+        known = record.steps.get(req.number)
+        if known is not None:
+            if known.fingerprint == req.request.fingerprint():
+                return api.Done()
+            raise CallError(
+                ErrorCode.STEP_CONFLICT,
+                f'step {req.number} exists with another body',
+            )
+        service = self._registry.service(req.request.service)
+        await self._log.commit(
+            BeginStep(
+                program=req.program,
+                number=req.number,
+                request=req.request,
+                reserved=worst_case(record, req.request, service.max_tokens),
+                at_ms=self._clock.wall_ms(),
+            )
+        )
+        self._start(record, record.steps[req.number], keep=req.keep)
+        return api.Done()
+
+    async def read(self, req: api.Read) -> api.Page:
+        """Return what is new in the answer of a step, waiting for it.
+
+        Raises:
+            CallError: There is no such program or step.
+        """
+        self._owned(req.program, req.workspace)
+        run = self._runs.get((req.program, req.number))
+        if run is None:
+            return _page(self._state.step(req.program, req.number))
+        try:
+            with self._clock.timeout(req.wait_ms):
+                await run.wait_news(req)
+        except TimeoutError:
+            return run.page(req)
+        return run.page(req)
+
+    async def show(self, req: api.Show) -> api.View:
+        """Return the state of a program.
+
+        Raises:
+            CallError: There is no such program.
+        """
+        return _view(self._owned(req.program, req.workspace), steps=req.steps)
+
+    async def end(self, req: api.End) -> api.Done:
+        """End a program and cancel its step under way.
+
+        Raises:
+            CallError: There is no such program.
+        """
+        self._owned(req.program, req.workspace)
+        await self.end_program(req.program, EndReason.CALLER)
+        return api.Done()
+
+    async def cancel(self, req: api.Cancel) -> api.Done:
+        """Cancel a step whose caller has gone, unless it is to be kept."""
+        self._owned(req.program, req.workspace)
+        run = self._runs.get((req.program, req.number))
+        if run is not None and not run.keep:
+            run.scope.cancel()
+        return api.Done()
+
+    async def end_program(self, program: ProgramId, reason: EndReason) -> None:
+        """End a program and all its children."""
+        record = self._state.get(program)
+        if record.state is ProgramState.ENDED:
+            return
+        at_ms = self._clock.wall_ms()
+        await self._log.commit(
+            EndProgram(program=program, reason=reason, at_ms=at_ms)
+        )
+        self._metrics.count(Counter.PROGRAM_ENDED, reason)
+        self._after_end(record)
+
+    async def expire(self) -> None:
+        """End the programs that are over and forget old ones."""
+        now_ms = self._clock.wall_ms()
+        for program, reason in expiry.overdue(self._state, now_ms):
+            await self.end_program(program, reason)
+        retention_s = self._registry.document.retention_s
+        for program in expiry.forgettable(self._state, now_ms, retention_s):
+            await self._log.commit(ForgetProgram(program))
+
+    async def wait_idle(self) -> None:
+        """Return once no step is under way."""
+        while self._runs:
+            run = next(iter(self._runs.values()))
+            await run.wait_change()
+
+    def _after_end(self, record: Program) -> None:
+        step = record.running
+        if step is None:
+            self._releases.add(record)
+        elif (record.program, step.number) in self._runs:
+            self._runs[record.program, step.number].scope.cancel()
+        for child in record.children:
+            if child in self._state.by_id:
+                self._after_end(self._state.by_id[child])
+
+    def _owned(self, program: ProgramId, workspace: WorkspaceId) -> Program:
+        record = self._state.get(program)
+        if record.workspace != workspace:
+            raise CallError(
+                ErrorCode.UNKNOWN_PROGRAM, f'there is no program "{program}"'
+            )
+        return record
+
+    async def _wait_previous(self, record: Program, number: StepNumber) -> None:
+        try:
+            with self._clock.timeout(self._settings.waits.previous_step_ms):
+                while number > len(record.steps):
+                    run = self._runs.get(
+                        (record.program, StepNumber(number - 1))
+                    )
+                    if run is None:
+                        break
+                    await run.wait_change()
+        except TimeoutError:
+            raise CallError(
+                ErrorCode.STEP_CONFLICT,
+                f'step {number - 1} is still under way',
+                retry_after_ms=self._settings.waits.previous_step_ms,
+            ) from None
+        if number > record.next_step:
+            raise CallError(
+                ErrorCode.STEP_SKIPPED,
+                f'the next step is {record.next_step}, not {number}',
+            )
+
+    def _start(self, record: Program, step: Step, *, keep: bool) -> None:
+        run = Run(keep=keep)
+        self._runs[record.program, step.number] = run
+        self._metrics.count(Counter.STARTED, step.request.kind)
+        self._tasks.start_soon(self._run_step, record, step, run)
+
+    async def _run_step(self, record: Program, step: Step, run: Run) -> None:
+        started_ms = self._clock.now_ms()
+        try:
+            await self._run_to_end(record, step, run)
+        finally:
+            self._runs.pop((record.program, step.number), None)
+            if record.state is ProgramState.ENDED:
+                self._releases.add(record)
+            self._metrics.time(Timer.STEP, self._clock.now_ms() - started_ms)
+
+    async def _run_to_end(self, record: Program, step: Step, run: Run) -> None:
+        service = self._registry.service(step.request.service)
+        longest_ms = min(
+            self._settings.waits.step_ms,
+            max(1, record.deadline_ms - self._clock.wall_ms()),
+        )
+        try:
+            with run.scope, self._clock.timeout(longest_ms):
+                answer = await self._dispatcher.run(
+                    self._log, service, record, step, run
+                )
+                await self._finish(record, step, run, answer)
+                return
+        except TimeoutError:
+            refusal = CallError(
+                ErrorCode.DEADLINE_EXCEEDED,
+                'the step took longer than it may',
+                verdict_of(step),
+            ).refusal
+        except CallError as exc:
+            refusal = exc.refusal
+        else:
+            self._metrics.count(Counter.CANCELLED)
+            refusal = CallError(
+                ErrorCode.CANCELLED, 'the step was cancelled', verdict_of(step)
+            ).refusal
+        with anyio.CancelScope(shield=True):
+            await self._fail(record, step, run, refusal)
+
+    async def _finish(
+        self, record: Program, step: Step, run: Run, answer: Answer
+    ) -> None:
+        with anyio.CancelScope(shield=True):
+            command = FinishStep(
+                program=record.program,
+                number=step.number,
+                answer=answer,
+                at_ms=self._clock.wall_ms(),
+            )
+            await self._log.commit(command)
+        self._metrics.count(Counter.FINISHED, step.request.kind)
+        run.finish(command.answer)
+
+    async def _fail(
+        self, record: Program, step: Step, run: Run, refusal: Refusal
+    ) -> None:
+        logger.warning(
+            'The step failed.',
+            program=record.program,
+            step=step.number,
+            code=refusal.code.value,
+            verdict=refusal.verdict.value,
+        )
+        await self._log.commit(
+            FailStep(
+                program=record.program,
+                number=step.number,
+                refusal=refusal,
+                at_ms=self._clock.wall_ms(),
+            )
+        )
+        self._metrics.count(Counter.FAILED, refusal.code)
+        run.fail(refusal)
+
+
+def _check_same(existing: Program, req: api.Create) -> None:
+    asked = (req.workspace, req.service, req.parent)
+    is_same = asked == (existing.workspace, existing.service, existing.parent)
+    is_same = is_same and req.tokens in {None, existing.granted.tokens}
+    is_same = is_same and req.calls in {None, existing.granted.calls}
+    if not is_same:
+        raise CallError(
+            ErrorCode.STEP_CONFLICT,
+            'this idempotency key was used for another request',
+        )
+
+
+def _view(record: Program, *, steps: bool) -> api.View:
+    ordered = [record.steps[number] for number in sorted(record.steps)]
+    return api.View(
+        program=record.program,
+        state=record.state,
+        end_reason=record.end_reason,
+        granted=record.granted,
+        left=record.left,
+        next_step=record.next_step,
+        steps=ordered if steps else [],
+    )
+
+
+def _page(step: Step) -> api.Page:
+    if step.state is StepState.RUNNING:
+        raise CallError(
+            ErrorCode.UNKNOWN_STEP, 'the step is not under way here'
+        )
+    return api.Page(
+        generation=0,
+        cursor=0,
+        pieces=[],
+        answer=step.answer,
+        refusal=step.refusal,
+    )
--- /dev/null
+++ b/src/acaciaramp/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses which step goes next and to which endpoint."""
--- /dev/null
+++ b/src/acaciaramp/scheduling/scheduler.py
@@ -0,0 +1,232 @@
+"""One bounded queue a service in front of the endpoints' places."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+from typing import TYPE_CHECKING
+
+import anyio
+
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.metrics.names import Counter, Timer
+from acaciaramp.scheduling.health import Health
+from acaciaramp.scheduling.placement import (
+    Candidate,
+    Placement,
+    Reason,
+    choose,
+    in_flight_limits,
+)
+from acaciaramp.util.logs import get_logger
+from acaciaramp.verdicts import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from acaciaramp.clock import Clock
+    from acaciaramp.documents.model import Endpoint, Service
+    from acaciaramp.documents.registry import Registry
+    from acaciaramp.endpoints.calls import EndpointError
+    from acaciaramp.metrics.client import Metrics
+    from acaciaramp.programs.records import Program, Step
+
+logger = get_logger('scheduling')
+
+_LEAST_RETRY_AFTER_MS = 1_000
+
+
+class Scheduler:
+    """Gives steps their places at endpoints.
+
+    A program under way goes before a new one; among equals the program that
+    has used less goes first, then the one that has waited longer.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: Registry,
+        zone: str,
+        instances: int,
+        queue_length: int,
+        queue_ms: int,
+        clock: Clock,
+        metrics: Metrics,
+        is_leaving: Callable[[str], bool],
+    ) -> None:
+        """Create the scheduler with empty queues.
+
+        Args:
+            registry: The document in force.
+            zone: This instance's availability zone.
+            instances: Instances that share the endpoints.
+            queue_length: Most steps waiting for one service.
+            queue_ms: Longest wait, milliseconds.
+            clock: Measures the waits.
+            metrics: Takes the waits.
+            is_leaving: Whether an endpoint must get no new work.
+        """
+        self._zone = zone
+        self._limits = in_flight_limits(registry.endpoints, instances)
+        self._in_flight = dict.fromkeys(registry.endpoints, 0)
+        self._queue_length = queue_length
+        self._queue_ms = queue_ms
+        self._clock = clock
+        self._metrics = metrics
+        self._is_leaving = is_leaving
+        self._health = Health(clock)
+        self._order = itertools.count()
+        self._queues: dict[str, list[_Waiter]] = {}
+
+    @contextlib.asynccontextmanager
+    async def place(
+        self, service: Service, record: Program, step: Step
+    ) -> AsyncIterator[Placement]:
+        """Hold a place at an endpoint of a service.
+
+        Args:
+            service: The service that is called.
+            record: The program.
+            step: The step.
+
+        Raises:
+            CallError: The queue is full, or no place came free in time.
+        """
+        started_ms = self._clock.now_ms()
+        endpoint, reason = await self._wait_place(service, record, step)
+        queued_ms = self._clock.now_ms() - started_ms
+        self._metrics.time(Timer.QUEUE, queued_ms)
+        try:
+            yield Placement(endpoint, reason, queued_ms)
+        finally:
+            self._in_flight[endpoint.id] -= 1
+            self.wake(service)
+
+    def report_failure(self, endpoint: Endpoint, error: EndpointError) -> None:
+        """Take note of a failed attempt."""
+        if error.verdict is Verdict.RAN:
+            return
+        if self._health.is_usable(endpoint.id):
+            self._metrics.count(Counter.ENDPOINT_DOWN, error.failure)
+            logger.warning(
+                'The endpoint is paused.',
+                endpoint=endpoint.id,
+                failure=error.failure.value,
+            )
+        self._health.report_failure(endpoint.id)
+
+    def report_success(self, endpoint: Endpoint) -> None:
+        """Take note of an attempt that gave an answer."""
+        self._health.report_success(endpoint.id)
+
+    def wake(self, service: Service) -> None:
+        """Hand free places to the steps that wait for them."""
+        queue = self._queues.get(service.name, [])
+        for waiter in sorted(queue, key=_priority):
+            chosen = self._take(service, waiter.record, waiter.step)
+            if chosen is None:
+                return
+            waiter.chosen = chosen
+            queue.remove(waiter)
+            waiter.ready.set()
+
+    async def _wait_place(
+        self, service: Service, record: Program, step: Step
+    ) -> tuple[Endpoint, Reason]:
+        queue = self._queues.setdefault(service.name, [])
+        if not queue:
+            chosen = self._take(service, record, step)
+            if chosen is not None:
+                return chosen
+        if len(queue) >= self._queue_length:
+            raise CallError(
+                ErrorCode.QUEUE_FULL,
+                f'{len(queue)} requests wait for "{service.name}" already',
+                retry_after_ms=_LEAST_RETRY_AFTER_MS,
+            )
+        waiter = _Waiter(record, step, next(self._order))
+        queue.append(waiter)
+        try:
+            with self._clock.timeout(self._queue_ms):
+                return await self._wait_turn(service, waiter)
+        except TimeoutError:
+            raise CallError(
+                ErrorCode.QUEUE_TIMEOUT,
+                f'no endpoint of "{service.name}" came free in time',
+                retry_after_ms=_LEAST_RETRY_AFTER_MS,
+            ) from None
+        except BaseException:
+            self._give_back(service, waiter)
+            raise
+        finally:
+            if waiter in queue:
+                queue.remove(waiter)
+
+    async def _wait_turn(
+        self, service: Service, waiter: _Waiter
+    ) -> tuple[Endpoint, Reason]:
+        while waiter.chosen is None:
+            pause_ms = self._shortest_pause_ms(service)
+            if pause_ms is None:
+                await waiter.ready.wait()
+                continue
+            with contextlib.suppress(TimeoutError):
+                with self._clock.timeout(pause_ms):
+                    await waiter.ready.wait()
+            self.wake(service)
+        return waiter.chosen
+
+    def _give_back(self, service: Service, waiter: _Waiter) -> None:
+        if waiter.chosen is not None:
+            self._in_flight[waiter.chosen[0].id] -= 1
+            self.wake(service)
+
+    def _shortest_pause_ms(self, service: Service) -> int | None:
+        pauses_ms = [
+            self._health.pause_left_ms(endpoint.id)
+            for endpoint in service.endpoints
+        ]
+        return min((pause for pause in pauses_ms if pause > 0), default=None)
+
+    def _take(
+        self, service: Service, record: Program, step: Step
+    ) -> tuple[Endpoint, Reason] | None:
+        chosen = choose(self._candidates(service), record, step)
+        if chosen is not None:
+            self._in_flight[chosen[0].id] += 1
+        return chosen
+
+    def _candidates(self, service: Service) -> list[Candidate]:
+        return [
+            Candidate(
+                endpoint,
+                self._in_flight[endpoint.id],
+                endpoint.availability_zone == self._zone,
+            )
+            for endpoint in service.endpoints
+            if self._has_place(endpoint)
+        ]
+
+    def _has_place(self, endpoint: Endpoint) -> bool:
+        if self._in_flight[endpoint.id] >= self._limits[endpoint.id]:
+            return False
+        if self._is_leaving(endpoint.id):
+            return False
+        return self._health.is_usable(endpoint.id)
+
+
+class _Waiter:
+    """A step that waits for a place."""
+
+    def __init__(self, record: Program, step: Step, order: int) -> None:
+        self.record = record
+        self.step = step
+        self.order = order
+        self.ready = anyio.Event()
+        self.chosen: tuple[Endpoint, Reason] | None = None
+
+
+def _priority(waiter: _Waiter) -> tuple[bool, int, int]:
+    is_new = waiter.step.number == 1
+    return is_new, waiter.record.used.tokens, waiter.order
--- /dev/null
+++ b/src/acaciaramp/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one instance: the table of values and their file."""
--- /dev/null
+++ b/src/acaciaramp/settings/load.py
@@ -0,0 +1,39 @@
+"""Reads the settings file of an instance."""
+
+from __future__ import annotations
+
+import pathlib
+
+from acaciaramp.errors import AcaciarampError
+from acaciaramp.settings.model import Settings
+from acaciaramp.util.checked import check
+
+
+class FileError(AcaciarampError):
+    """A file could not be read as text."""
+
+
+def load_settings(path: str) -> Settings:
+    """Return the checked settings of the file at ``path``.
+
+    The document's file name is taken relative to the settings file.
+
+    Raises:
+        FileError: The file cannot be read.
+        CheckError: The settings have mistakes; all are named.
+    """
+    settings = check(Settings, read_text(path), path)
+    document = pathlib.Path(path).parent / settings.document
+    return settings.model_copy(update={'document': str(document)})
+
+
+def read_text(path: str) -> str:
+    """Return the text of the UTF-8 file at ``path``.
+
+    Raises:
+        FileError: The file cannot be read or is not UTF-8.
+    """
+    try:
+        return pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise FileError(f'{path}: cannot be read: {exc}') from None
--- /dev/null
+++ b/src/acaciaramp/settings/model.py
@@ -0,0 +1,155 @@
+"""The table of settings: each value with default, type and effect.
+
+Every value takes effect when the instance is started again, save those whose
+description says otherwise.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import pydantic
+
+from acaciaramp.util.checked import StrictModel
+
+Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+PositiveInt = Annotated[int, pydantic.Field(ge=1)]
+Name = Annotated[str, pydantic.Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+Host = Annotated[str, pydantic.Field(min_length=1, max_length=255)]
+
+
+class Listen(StrictModel):
+    """An address on which the instance listens.
+
+    Attributes:
+        host: IP address.
+        port: TCP port.
+    """
+
+    host: Host = '127.0.0.1'
+    port: Port
+
+
+class Peer(StrictModel):
+    """Another instance of the deployment.
+
+    Attributes:
+        instance: The other instance's id.
+        host: IP address of its inner port.
+        port: TCP port of its inner port.
+    """
+
+    instance: Name
+    host: Host = '127.0.0.1'
+    port: Port
+
+
+class RequestLimits(StrictModel):
+    """Limits on what a caller may send.
+
+    Attributes:
+        body_bytes: Largest request body.
+        header_bytes: Largest request line and headers together.
+        header_ms: Time in which the headers must have come, milliseconds.
+        body_ms: Time in which the body must have come, milliseconds.
+        connections: Most open connections of callers.
+    """
+
+    body_bytes: PositiveInt = 4_194_304
+    header_bytes: PositiveInt = 16_384
+    header_ms: PositiveInt = 10_000
+    body_ms: PositiveInt = 30_000
+    connections: PositiveInt = 4_096
+
+
+class Retries(StrictModel):
+    """How failed attempts are repeated.
+
+    Attributes:
+        ratio: Retries added at most for each request sent, as a share of 1.
+        reserve: Retries allowed beyond the ratio over the life of a process.
+        attempts: Most attempts at one request.
+        backoff_ms: First pause between attempts, milliseconds.
+        backoff_max_ms: Longest pause between attempts, milliseconds.
+    """
+
+    ratio: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
+    reserve: Annotated[int, pydantic.Field(ge=0)] = 10
+    attempts: PositiveInt = 3
+    backoff_ms: PositiveInt = 50
+    backoff_max_ms: PositiveInt = 2_000
+
+
+class Statsd(StrictModel):
+    """Where counters and timers are sent.
+
+    Attributes:
+        host: IP address of the statsd daemon.
+        port: UDP port of the statsd daemon.
+        prefix: First part of every metric's name.
+    """
+
+    host: Host = '127.0.0.1'
+    port: Port = 8125
+    prefix: Annotated[str, pydantic.Field(min_length=1)] = 'acaciaramp'
+
+
+class Waits(StrictModel):
+    """Longest waits of a call inside the system, in milliseconds.
+
+    Attributes:
+        rate_ms: For a token of the workspace's rate.
+        queue_ms: For a free place at an endpoint.
+        previous_step_ms: For the step before to end.
+        step_ms: For a whole step, queue and retries included.
+        peer_ms: For another instance to answer.
+    """
+
+    rate_ms: PositiveInt = 1_000
+    queue_ms: PositiveInt = 30_000
+    previous_step_ms: PositiveInt = 30_000
+    step_ms: PositiveInt = 600_000
+    peer_ms: PositiveInt = 3_000
+
+
+class Settings(StrictModel):
+    """All settings of one instance.
+
+    Attributes:
+        instance: This instance's id, unique in the deployment.
+        availability_zone: Where this instance runs.
+        callers: Address for callers.
+        inner: Address for the other instances.
+        peers: The other instances.
+        document: File of the environment document.
+        instance_list: Address of the platform's instance list, if any.
+        queue_length: Most requests waiting for one service.
+        programs: Most programs held in memory.
+        log_level: Least level that is logged.
+        limits: Limits on what a caller may send.
+        retries: How failed attempts are repeated.
+        waits: Longest waits inside the system.
+        statsd: Where metrics go; nothing is sent without it.
+    """
+
+    instance: Name
+    availability_zone: Name
+    callers: Listen
+    inner: Listen
+    peers: tuple[Peer, ...] = ()
+    document: str
+    instance_list: str | None = None
+    queue_length: PositiveInt = 1_000
+    programs: PositiveInt = 10_000
+    log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
+    limits: RequestLimits = RequestLimits()
+    retries: Retries = Retries()
+    waits: Waits = Waits()
+    statsd: Statsd | None = None
+
+    @pydantic.model_validator(mode='after')
+    def _has_distinct_instances(self) -> Settings:
+        names = [self.instance, *(peer.instance for peer in self.peers)]
+        if len(set(names)) != len(names):
+            raise ValueError('two instances have one id')
+        return self
--- /dev/null
+++ b/src/acaciaramp/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small leaf helpers without dependencies on other packages."""
--- /dev/null
+++ b/src/acaciaramp/util/jsonc.py
@@ -0,0 +1,124 @@
+"""JSON with comments, parsed with the place of every value."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, NamedTuple
+
+import lark
+
+from acaciaramp.errors import AcaciarampError
+
+_GRAMMAR = r"""
+?value: object | array | string | number | literal
+object: "{" [pair ("," pair)* [","]] "}"
+pair: string ":" value
+array: "[" [value ("," value)* [","]] "]"
+string: STRING
+number: NUMBER
+literal: LITERAL
+STRING: /"(?:[^"\\\x00-\x1f]|\\["\\\/bfnrt]|\\u[0-9a-fA-F]{4})*"/
+NUMBER: /-?(?:0|[1-9][0-9]*)(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?/
+LITERAL: "true" | "false" | "null"
+COMMENT: /\/\/[^\n]*/ | /\/\*(?:.|\n)*?\*\//
+WHITESPACE: /[ \t\r\n]+/
+%ignore COMMENT
+%ignore WHITESPACE
+"""
+
+Path = tuple[str | int, ...]
+
+
+class Place(NamedTuple):
+    """Where a value stands in its file; both counted from 1."""
+
+    line: int
+    column: int
+
+    def __str__(self) -> str:
+        """Return the place as people read it."""
+        return f'line {self.line}, column {self.column}'
+
+
+class JsonSyntaxError(AcaciarampError):
+    """The text is not JSON with comments.
+
+    Attributes:
+        place: Where reading stopped.
+    """
+
+    def __init__(self, message: str, place: Place) -> None:
+        """Create the error at ``place``."""
+        super().__init__(f'{place}: {message}')
+        self.place = place
+
+
+class Parsed(NamedTuple):
+    """A parsed text.
+
+    Attributes:
+        tree: The plain value.
+        places: The place of each value by its path from the root.
+    """
+
+    tree: Any
+    places: dict[Path, Place]
+
+    def place_of(self, path: Path) -> Place:
+        """Return the place of ``path`` or of its nearest known parent."""
+        while path and path not in self.places:
+            path = path[:-1]
+        return self.places.get(path, Place(1, 1))
+
+
+def parse(text: str) -> Parsed:
+    """Parse JSON with ``//`` and ``/* */`` comments and trailing commas.
+
+    Args:
+        text: The whole text.
+
+    Raises:
+        JsonSyntaxError: The text is malformed or names a key twice.
+    """
+    try:
+        root = _PARSER.parse(text)
+    except lark.UnexpectedInput as exc:
+        place = Place(max(exc.line, 1), max(exc.column, 1))
+        raise JsonSyntaxError('not valid JSON here', place) from None
+    places: dict[Path, Place] = {}
+    return Parsed(_convert(root, (), places), places)
+
+
+def _convert(
+    node: lark.Tree[Any], path: Path, places: dict[Path, Place]
+) -> Any:
+    meta = node.meta
+    places[path] = Place(getattr(meta, 'line', 1), getattr(meta, 'column', 1))
+    children = [child for child in node.children if child is not None]
+    if node.data == 'object':
+        return _convert_object(children, path, places)
+    if node.data == 'array':
+        return [
+            _convert(child, (*path, index), places)
+            for index, child in enumerate(children)
+        ]
+    return json.loads(str(children[0]))
+
+
+def _convert_object(
+    pairs: list[Any], path: Path, places: dict[Path, Place]
+) -> dict[str, Any]:
+    members: dict[str, Any] = {}
+    for pair in pairs:
+        name_node, member = pair.children
+        name = json.loads(str(name_node.children[0]))
+        if name in members:
+            place = Place(pair.meta.line, pair.meta.column)
+            raise JsonSyntaxError(f'the key "{name}" stands twice', place)
+        members[name] = _convert(member, (*path, name), places)
+    return members
+
+
+_PARSER = lark.Lark(
+    _GRAMMAR, start='value', parser='lalr', propagate_positions=True
+)
--- /dev/null
+++ b/src/acaciaramp/util/webserver.py
@@ -0,0 +1,67 @@
+"""Runs an ASGI application on a port until it is told to stop."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import uvicorn
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+    from starlette.types import ASGIApp
+
+_BACKLOG = 2_048
+
+
+class _QuietServer(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+def open_port(host: str, port: int) -> socket.socket:
+    """Return a bound socket; port 0 takes a free one.
+
+    Raises:
+        OSError: The port is taken.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    return sock
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    app: ASGIApp, sock: socket.socket, protocol: Any = 'httptools'
+) -> AsyncIterator[uvicorn.Server]:
+    """Serve ``app`` while the body runs; requests under way then end whole.
+
+    Args:
+        app: The application.
+        sock: A bound socket.
+        protocol: The class of connections.
+    """
+    config = uvicorn.Config(
+        app,
+        http=protocol,
+        ws='none',
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        backlog=_BACKLOG,
+    )
+    server = _QuietServer(config)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [sock])
+        try:
+            yield server
+        finally:
+            server.should_exit = True
--- /dev/null
+++ b/src/acaciaramp/verdicts.py
@@ -0,0 +1,37 @@
+"""Verdicts: whether a request may have run."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Verdict(enum.Enum):
+    """What is known about the execution of a request.
+
+    Attributes:
+        NOT_RUN: No endpoint has run the request, and none will.
+        MAY_HAVE_RUN: The request was sent and its outcome is unknown.
+        RAN: An endpoint ran the request to its end.
+    """
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+def combine(first: Verdict, second: Verdict) -> Verdict:
+    """Combine the verdicts of two attempts at one request.
+
+    Args:
+        first: Verdict of the earlier attempt.
+        second: Verdict of the later attempt.
+
+    Returns:
+        The verdict that is true of both attempts together.
+    """
+    verdicts = {first, second}
+    if Verdict.RAN in verdicts:
+        return Verdict.RAN
+    if Verdict.MAY_HAVE_RUN in verdicts:
+        return Verdict.MAY_HAVE_RUN
+    return Verdict.NOT_RUN
