--- a/scripts/demo_programs.py
+++ b/scripts/demo_programs.py
@@ -16,6 +16,9 @@
 ATELIER = 'http://127.0.0.1:7301'
 READY_WITHIN_S = 20
 TOOL_PAUSE_S = 0.3
+HTTP_OK = 200
+HTTP_REDIRECT = 300
+HTTP_NOT_FOUND = 404
 
 
 class DemoError(Exception):
@@ -112,7 +115,7 @@
     status, body = request(
         'GET', ENTRIES[0], f'/v1/programs/{program}', key=OTHER_KEY
     )
-    check('another workspace sees nothing', status == 404)
+    check('another workspace sees nothing', status == HTTP_NOT_FOUND)
     check(
         'the refusal names its verdict', body['error']['verdict'] == 'not_run'
     )
@@ -121,8 +124,8 @@
 def check_service() -> None:
     """Nothing ran twice, and no endpoint saw a key."""
     status, body = request('GET', ATELIER, '/executions', key='')
-    check('the service lists its executions', status == 200)
-    check('nothing ran twice', body['doubles'] == [])
+    check('the service lists its executions', status == HTTP_OK)
+    check('nothing ran twice', not body['doubles'])
     check('no endpoint saw a key', KEY not in json.dumps(body))
 
 
@@ -152,7 +155,7 @@
 ) -> Any:
     """Return the JSON of an answer that must be a success."""
     status, answer = request(method, entry, path, body, key)
-    check(f'{method} {path} gave {status}: {answer}', status < 300)
+    check(f'{method} {path} gave {status}: {answer}', status < HTTP_REDIRECT)
     return answer
 
 
@@ -160,7 +163,7 @@
     method: str, entry: str, path: str, body: Any = None, key: str = KEY
 ) -> tuple[int, Any]:
     """Return status and JSON of an answer."""
-    headers = {'Authorization': f'Bearer {key}'} if key else {}
+    headers = [('Authorization', f'Bearer {key}')] if key else []
     content = None if body is None else json.dumps(body).encode()
     resp = httpcore.request(
         method, entry + path, headers=headers, content=content
@@ -173,7 +176,7 @@
     give_up = time.monotonic() + READY_WITHIN_S
     while time.monotonic() < give_up:
         try:
-            if httpcore.request('GET', f'{entry}/readyz').status == 200:
+            if httpcore.request('GET', f'{entry}/readyz').status == HTTP_OK:
                 return
         except httpcore.ConnectError:
             time.sleep(0.1)
--- a/src/acaciaramp/cells/router.py
+++ b/src/acaciaramp/cells/router.py
@@ -5,6 +5,8 @@
 import hashlib
 from typing import TYPE_CHECKING, TypeVar
 
+import msgspec
+
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import (
     InstanceId,
@@ -13,6 +15,7 @@
     new_program_id,
     program_id,
 )
+from acaciaramp.peering.messages import Channel
 from acaciaramp.programs import api
 
 if TYPE_CHECKING:
@@ -22,6 +25,9 @@
     from acaciaramp.peering.link import Link
     from acaciaramp.programs.home import Home
 
+_encode = msgspec.msgpack.Encoder().encode
+_request_decoder = msgspec.msgpack.Decoder(api.Request)
+_reply_decoder = msgspec.msgpack.Decoder(api.Reply)
 _Reply = TypeVar('_Reply', api.Done, api.View, api.Page)
 
 
@@ -111,7 +117,10 @@
         link = self._links.get(home)
         if link is None:
             raise _unknown(req.program)
-        return await link.request(req, self._peer_ms + extra_ms)
+        wire = await link.request(
+            Channel.PROGRAMS, _encode(req), self._peer_ms + extra_ms
+        )
+        return _reply_decoder.decode(wire)
 
     def _home_of(self, program: ProgramId) -> InstanceId:
         home = home_of(program)
@@ -120,6 +129,19 @@
         return home
 
 
+async def answer_wire(home: Home, wire: bytes) -> bytes:
+    """Carry out a request of another instance, both in the inner encoding.
+
+    Raises:
+        CallError: The home refused the request, or it is malformed.
+    """
+    try:
+        req = _request_decoder.decode(wire)
+    except msgspec.DecodeError as exc:
+        raise CallError(ErrorCode.BAD_REQUEST, f'malformed: {exc}') from None
+    return _encode(await answer(home, req))
+
+
 async def answer(home: Home, req: api.Request) -> api.Reply:
     """Carry out a request at its home.
 
--- a/src/acaciaramp/clock.py
+++ b/src/acaciaramp/clock.py
@@ -6,16 +6,15 @@
 import heapq
 import itertools
 import time
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-import anyio
-import anyio.lowlevel
+from anyio import CancelScope, Event, fail_after, lowlevel, sleep
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
-    from contextlib import AbstractContextManager
 
 MS_PER_SECOND = 1000
+_NS_PER_MS = 1_000_000
 
 
 class Clock(Protocol):
@@ -33,7 +32,9 @@
         """Return after ``duration_ms`` milliseconds."""
         ...
 
-    def timeout(self, duration_ms: int) -> AbstractContextManager[object]:
+    def timeout(
+        self, duration_ms: int
+    ) -> contextlib.AbstractContextManager[object]:
         """Return a context that raises ``TimeoutError`` when it lasts longer.
 
         Args:
@@ -47,19 +48,27 @@
 
     def now_ms(self) -> int:
         """Return monotonic milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        return time.monotonic_ns() // _NS_PER_MS
 
     def wall_ms(self) -> int:
         """Return milliseconds since 1970-01-01 UTC."""
-        return time.time_ns() // 1_000_000
+        return time.time_ns() // _NS_PER_MS
 
     async def sleep_ms(self, duration_ms: int) -> None:
         """Return after ``duration_ms`` milliseconds."""
-        await anyio.sleep(duration_ms / MS_PER_SECOND)
+        await sleep(duration_ms / MS_PER_SECOND)
 
-    def timeout(self, duration_ms: int) -> AbstractContextManager[object]:
+    def timeout(
+        self, duration_ms: int
+    ) -> contextlib.AbstractContextManager[object]:
         """Return a context that raises ``TimeoutError`` when it lasts longer."""
-        return anyio.fail_after(duration_ms / MS_PER_SECOND)
+        return fail_after(duration_ms / MS_PER_SECOND)
+
+
+class _Timer(NamedTuple):
+    due_ms: int
+    order: int
+    fire: Callable[[], None]
 
 
 class ManualClock:
@@ -69,7 +78,7 @@
         """Create the clock at ``start_ms``."""
         self._now_ms = start_ms
         self._order = itertools.count()
-        self._timers: list[tuple[int, int, Callable[[], None]]] = []
+        self._timers: list[_Timer] = []
 
     def now_ms(self) -> int:
         """Return the time that the last ``advance`` reached."""
@@ -82,17 +91,18 @@
     async def sleep_ms(self, duration_ms: int) -> None:
         """Return once ``advance`` has passed ``duration_ms``."""
         if duration_ms <= 0:
-            await anyio.lowlevel.checkpoint()
+            await lowlevel.checkpoint()
             return
-        fired = anyio.Event()
+        fired = Event()
         self._schedule(duration_ms, fired.set)
         await fired.wait()
 
     @contextlib.contextmanager
     def timeout(self, duration_ms: int) -> Iterator[None]:
         """Raise ``TimeoutError`` if the body outlasts ``duration_ms``."""
-        with anyio.CancelScope() as scope:
-            self._schedule(duration_ms, scope.cancel)
+        scope = CancelScope()
+        self._schedule(duration_ms, scope.cancel)
+        with scope:
             yield
         if scope.cancelled_caught:
             raise TimeoutError
@@ -100,10 +110,10 @@
     def advance(self, duration_ms: int) -> None:
         """Move the time on and fire the timers that are due."""
         self._now_ms += duration_ms
-        while self._timers and self._timers[0][0] <= self._now_ms:
-            fire = heapq.heappop(self._timers)[2]
+        while self._timers and self._timers[0].due_ms <= self._now_ms:
+            fire = heapq.heappop(self._timers).fire
             fire()
 
     def _schedule(self, delay_ms: int, fire: Callable[[], None]) -> None:
         due_ms = self._now_ms + delay_ms
-        heapq.heappush(self._timers, (due_ms, next(self._order), fire))
+        heapq.heappush(self._timers, _Timer(due_ms, next(self._order), fire))
--- a/src/acaciaramp/cmd/document.py
+++ b/src/acaciaramp/cmd/document.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import click
 
 from acaciaramp.documents.registry import key_hash, load_document
@@ -12,9 +14,9 @@
     """Work with environment documents."""
 
 
-@document.command()
+@document.command('check')
 @click.argument('path', metavar='FILE', type=click.Path(dir_okay=False))
-def check(path: str) -> None:
+def check_document(path: str) -> None:
     """Check a document; every mistake is shown in one go with its place."""
     loaded = load_document(path)
     click.echo(
@@ -26,7 +28,7 @@
 @document.command('hash-key')
 def hash_key() -> None:
     """Read a key from standard input and print the hash for a document."""
-    key = click.get_text_stream('stdin').readline().strip()
+    key = sys.stdin.readline().strip()
     if not key:
         raise click.UsageError('no key came on standard input')
     click.echo(key_hash(key))
--- a/src/acaciaramp/cmd/fake.py
+++ b/src/acaciaramp/cmd/fake.py
@@ -44,9 +44,15 @@
 @click.option(
     '--model', 'models', multiple=True, required=True, help='A model.'
 )
-@click.option('--step-ms', default=0.0, help='Time of a step of one sequence.')
-@click.option('--step-each-ms', default=0.0, help='Added for each further one.')
-@click.option('--prefill', default=0.0, help='Prompt tokens per millisecond.')
+@click.option(
+    '--step-ms', type=float, default=0, help='Time of a step of one sequence.'
+)
+@click.option(
+    '--step-each-ms', type=float, default=0, help='Added for each further one.'
+)
+@click.option(
+    '--prefill', type=float, default=0, help='Prompt tokens per millisecond.'
+)
 @click.option('--batch', default=64, help='Most sequences in one step.')
 @click.option(
     '--cache-blocks', default=4096, help='Blocks of the prefix cache.'
--- a/src/acaciaramp/cmd/serve.py
+++ b/src/acaciaramp/cmd/serve.py
@@ -22,5 +22,5 @@
     """Run one instance until SIGTERM or SIGINT; no request is cut."""
     settings = load_settings(path)
     configure_logs(settings.log_level)
-    application = Application(settings)
+    application = Application.from_settings(settings)
     run_daemon(application.run)
--- a/src/acaciaramp/endpoints/calls.py
+++ b/src/acaciaramp/endpoints/calls.py
@@ -10,7 +10,7 @@
 from acaciaramp.documents.model import Endpoint
 from acaciaramp.errors import AcaciarampError
 from acaciaramp.ids import ProgramId
-from acaciaramp.programs.records import Answer, StepRequest
+from acaciaramp.records import Answer, StepRequest
 from acaciaramp.verdicts import Verdict
 
 
--- a/src/acaciaramp/endpoints/deltas.py
+++ b/src/acaciaramp/endpoints/deltas.py
@@ -121,7 +121,8 @@
     def _add_tool_call(self, part: ToolCallDelta) -> None:
         calls = self.message.tool_calls
         while len(calls) <= part.index:
-            self.message.tool_calls = calls = [*calls, ToolCall()]
+            calls = [*calls, ToolCall()]
+        self.message.tool_calls = calls
         call = calls[part.index]
         call.id = part.id or call.id
         call.type = part.type or call.type
--- a/src/acaciaramp/endpoints/engine.py
+++ b/src/acaciaramp/endpoints/engine.py
@@ -11,7 +11,7 @@
 from acaciaramp.endpoints.deltas import Assembler, Delta
 from acaciaramp.endpoints.http import HttpAnswer, HttpRequest
 from acaciaramp.metrics.names import Counter, Timer
-from acaciaramp.programs.records import Answer, Header
+from acaciaramp.records import Answer, Header
 from acaciaramp.util import sse
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
--- a/src/acaciaramp/endpoints/http.py
+++ b/src/acaciaramp/endpoints/http.py
@@ -14,7 +14,7 @@
     from collections.abc import AsyncIterator
 
     from acaciaramp.clock import Clock
-    from acaciaramp.programs.records import Header
+    from acaciaramp.records import Header
 
 CONNECT_TIMEOUT_S = 2.0
 KEEPALIVE_S = 30.0
--- a/src/acaciaramp/endpoints/plain.py
+++ b/src/acaciaramp/endpoints/plain.py
@@ -6,7 +6,7 @@
 
 from acaciaramp.endpoints.calls import EndpointError, Failure
 from acaciaramp.endpoints.http import HttpRequest
-from acaciaramp.programs.records import Answer, Header
+from acaciaramp.records import Answer, Header
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
--- a/src/acaciaramp/endpoints/sending.py
+++ b/src/acaciaramp/endpoints/sending.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from acaciaramp.programs.records import StepKind
+from acaciaramp.records import StepKind
 
 if TYPE_CHECKING:
     from acaciaramp.documents.model import Endpoint
     from acaciaramp.endpoints.calls import Call, PieceSink, Sender
     from acaciaramp.endpoints.engine import EngineClient
     from acaciaramp.endpoints.plain import PlainClient
-    from acaciaramp.programs.records import Answer
+    from acaciaramp.records import Answer
 
 
 def make_sender(engine: EngineClient, plain: PlainClient) -> Sender:
--- a/src/acaciaramp/entry/answers.py
+++ b/src/acaciaramp/entry/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import types
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,39 +18,41 @@
 JSON_TYPE = 'application/json'
 _MS_PER_SECOND = 1000
 
-_STATUSES: Mapping[ErrorCode, int] = {
-    ErrorCode.BAD_REQUEST: 400,
-    ErrorCode.KEY_IN_REQUEST: 400,
-    ErrorCode.KEY_MISSING: 401,
-    ErrorCode.KEY_UNKNOWN: 401,
-    ErrorCode.FORBIDDEN: 403,
-    ErrorCode.NOT_FOUND: 404,
-    ErrorCode.UNKNOWN_SERVICE: 404,
-    ErrorCode.UNKNOWN_MODEL: 404,
-    ErrorCode.UNKNOWN_PROGRAM: 404,
-    ErrorCode.UNKNOWN_STEP: 404,
-    ErrorCode.METHOD_NOT_ALLOWED: 405,
-    ErrorCode.BODY_TIMEOUT: 408,
-    ErrorCode.STEP_CONFLICT: 409,
-    ErrorCode.STEP_SKIPPED: 409,
-    ErrorCode.PROGRAM_ENDED: 409,
-    ErrorCode.STREAM_RESTARTED: 409,
-    ErrorCode.CANCELLED: 409,
-    ErrorCode.BODY_TOO_LARGE: 413,
-    ErrorCode.TURN_LIMIT: 429,
-    ErrorCode.BUDGET_EXHAUSTED: 429,
-    ErrorCode.RATE_LIMITED: 429,
-    ErrorCode.INTERNAL: 500,
-    ErrorCode.PROGRAM_LIMIT: 503,
-    ErrorCode.QUEUE_FULL: 503,
-    ErrorCode.QUEUE_TIMEOUT: 503,
-    ErrorCode.NO_ENDPOINT: 503,
-    ErrorCode.ENDPOINT_FAILED: 503,
-    ErrorCode.HOME_UNREACHABLE: 503,
-    ErrorCode.SHUTTING_DOWN: 503,
-    ErrorCode.OUTCOME_UNKNOWN: 504,
-    ErrorCode.DEADLINE_EXCEEDED: 504,
-}
+_STATUSES: Mapping[ErrorCode, int] = types.MappingProxyType(
+    {
+        ErrorCode.BAD_REQUEST: 400,
+        ErrorCode.KEY_IN_REQUEST: 400,
+        ErrorCode.KEY_MISSING: 401,
+        ErrorCode.KEY_UNKNOWN: 401,
+        ErrorCode.FORBIDDEN: 403,
+        ErrorCode.NOT_FOUND: 404,
+        ErrorCode.UNKNOWN_SERVICE: 404,
+        ErrorCode.UNKNOWN_MODEL: 404,
+        ErrorCode.UNKNOWN_PROGRAM: 404,
+        ErrorCode.UNKNOWN_STEP: 404,
+        ErrorCode.METHOD_NOT_ALLOWED: 405,
+        ErrorCode.BODY_TIMEOUT: 408,
+        ErrorCode.STEP_CONFLICT: 409,
+        ErrorCode.STEP_SKIPPED: 409,
+        ErrorCode.PROGRAM_ENDED: 409,
+        ErrorCode.STREAM_RESTARTED: 409,
+        ErrorCode.CANCELLED: 409,
+        ErrorCode.BODY_TOO_LARGE: 413,
+        ErrorCode.TURN_LIMIT: 429,
+        ErrorCode.BUDGET_EXHAUSTED: 429,
+        ErrorCode.RATE_LIMITED: 429,
+        ErrorCode.INTERNAL: 500,
+        ErrorCode.PROGRAM_LIMIT: 503,
+        ErrorCode.QUEUE_FULL: 503,
+        ErrorCode.QUEUE_TIMEOUT: 503,
+        ErrorCode.NO_ENDPOINT: 503,
+        ErrorCode.ENDPOINT_FAILED: 503,
+        ErrorCode.HOME_UNREACHABLE: 503,
+        ErrorCode.SHUTTING_DOWN: 503,
+        ErrorCode.OUTCOME_UNKNOWN: 504,
+        ErrorCode.DEADLINE_EXCEEDED: 504,
+    }
+)
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
--- a/src/acaciaramp/entry/auth.py
+++ b/src/acaciaramp/entry/auth.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import urllib.parse
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 from acaciaramp.errors import CallError, ErrorCode
 
@@ -73,7 +73,7 @@
     key = key_of(req)
     if key is None:
         return
-    address = urllib.parse.unquote(f'{req.url.path}?{req.url.query}')
+    address = unquote(f'{req.url.path}?{req.url.query}')
     handed_on = [text for _, text in headers_to_hand_on(req)]
     if (
         key in address
--- a/src/acaciaramp/entry/calls.py
+++ b/src/acaciaramp/entry/calls.py
@@ -18,7 +18,7 @@
 
     from acaciaramp.documents.model import Workspace
     from acaciaramp.entry.context import EntryContext
-    from acaciaramp.programs.records import Answer, StepRequest
+    from acaciaramp.records import Answer, StepRequest
 
 _FIRST = StepNumber(1)
 
--- a/src/acaciaramp/entry/chat.py
+++ b/src/acaciaramp/entry/chat.py
@@ -14,7 +14,7 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import ProgramId, ServiceName, StepNumber, WorkspaceId
 from acaciaramp.metrics.names import Counter
-from acaciaramp.programs.records import StepKind, StepRequest
+from acaciaramp.records import StepKind, StepRequest
 from acaciaramp.util import sse
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
     from acaciaramp.documents.model import Service, Workspace
     from acaciaramp.entry.context import EntryContext
     from acaciaramp.entry.following import StepReader
-    from acaciaramp.programs.records import Answer
+    from acaciaramp.records import Answer
 
 PROGRAM_HEADER = 'acaciaramp-program'
 STEP_HEADER = 'acaciaramp-step'
@@ -81,7 +81,7 @@
         stream_options: Options of a streamed answer.
         max_tokens: Output limit.
         max_completion_tokens: Output limit, by its newer name.
-        n: Number of answers; only one is made.
+        answers: Number of answers ("n"); only one is made.
     """
 
     model: str
@@ -90,7 +90,7 @@
     stream_options: StreamOptions | None = None
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
-    n: int | None = None
+    answers: int | None = msgspec.field(default=None, name='n')
 
 
 async def complete_chat(ctx: EntryContext, req: Request) -> Response:
@@ -247,7 +247,7 @@
             )
     if not body.messages:
         raise CallError(ErrorCode.BAD_REQUEST, '"messages" is empty')
-    if body.n not in {None, 1}:
+    if body.answers not in {None, 1}:
         raise CallError(ErrorCode.BAD_REQUEST, 'only one answer is made: "n"')
     members = bodies.decode(raw, dict[str, msgspec.Raw])
     options = {
--- a/src/acaciaramp/entry/following.py
+++ b/src/acaciaramp/entry/following.py
@@ -11,6 +11,7 @@
     Delta,
     FunctionDelta,
     Message,
+    ToolCall,
     ToolCallDelta,
 )
 from acaciaramp.errors import CallError, ErrorCode
@@ -22,7 +23,7 @@
 
     from acaciaramp.entry.context import EntryContext
     from acaciaramp.ids import ProgramId, StepNumber, WorkspaceId
-    from acaciaramp.programs.records import Answer
+    from acaciaramp.records import Answer
 
 READ_WAIT_MS = 10_000
 
@@ -111,25 +112,26 @@
         read = self._assembler.whole()
         text = message.content or ''
         read_text = read.content or ''
-        is_same = text.startswith(read_text)
-        calls = message.tool_calls if not read.tool_calls else []
-        if read.tool_calls and read.tool_calls != message.tool_calls:
-            is_same = False
-        if not is_same:
+        if not text.startswith(read_text):
             raise _restarted()
-        rest = Delta(
-            content=text[len(read_text) :] or None,
-            tool_calls=[
-                ToolCallDelta(
-                    index,
-                    call.id,
-                    call.type,
-                    FunctionDelta(call.function.name, call.function.arguments),
-                )
-                for index, call in enumerate(calls)
-            ],
+        if read.tool_calls not in ([], message.tool_calls):
+            raise _restarted()
+        rest = Delta(content=text[len(read_text) :] or None)
+        if not read.tool_calls:
+            rest.tool_calls = _as_deltas(message.tool_calls)
+        return [] if rest == Delta() else [rest]
+
+
+def _as_deltas(calls: list[ToolCall]) -> list[ToolCallDelta]:
+    return [
+        ToolCallDelta(
+            index,
+            call.id,
+            call.type,
+            FunctionDelta(call.function.name, call.function.arguments),
         )
-        return [rest] if rest != Delta() else []
+        for index, call in enumerate(calls)
+    ]
 
 
 def _restarted() -> CallError:
--- a/src/acaciaramp/entry/programs.py
+++ b/src/acaciaramp/entry/programs.py
@@ -14,7 +14,7 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import ProgramId, ServiceName, StepNumber, WorkspaceId
 from acaciaramp.programs import api
-from acaciaramp.programs.records import Budget, StepKind
+from acaciaramp.records import Budget, StepKind
 
 if TYPE_CHECKING:
     from starlette.requests import Request
@@ -22,7 +22,7 @@
 
     from acaciaramp.documents.model import Workspace
     from acaciaramp.entry.context import EntryContext
-    from acaciaramp.programs.records import Step
+    from acaciaramp.records import Step
 
 _CREATED = 201
 
--- a/src/acaciaramp/entry/services.py
+++ b/src/acaciaramp/entry/services.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import urllib.parse
 from typing import TYPE_CHECKING, Any, get_args
+from urllib.parse import unquote
 
 import msgspec
 from starlette.responses import Response
@@ -12,14 +12,14 @@
 from acaciaramp.entry import auth, bodies, calls
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import ProgramId, ServiceName, StepNumber, WorkspaceId
-from acaciaramp.programs.records import Header, StepKind, StepRequest
+from acaciaramp.records import Header, StepKind, StepRequest
 
 if TYPE_CHECKING:
     from starlette.requests import Request
 
     from acaciaramp.documents.model import Service, Workspace
     from acaciaramp.entry.context import EntryContext
-    from acaciaramp.programs.records import Answer
+    from acaciaramp.records import Answer
 
 _PREFIX = '/v1/services/'
 _KEY_HEADER = 'idempotency-key'
@@ -58,19 +58,18 @@
     """
     name, path = _split(req)
     workspace = _open_or_key(ctx, req, name, path)
-    service = _plain(ctx, name)
     body = await bodies.read_body(ctx, req)
     auth.check_key_stays_here(req, body)
-    key = req.headers.get(_KEY_HEADER)
     step = StepRequest(
         kind=StepKind.TOOL,
-        service=ServiceName(service.name),
-        repeatable=_is_repeatable(service, req.method, path),
+        service=ServiceName(name),
+        repeatable=_is_repeatable(_plain(ctx, name), req.method, path),
         body=body,
         method=req.method,
-        path=f'{path}?{req.url.query}' if req.url.query else path,
+        path=_with_query(path, req),
         headers=_handed_on(req),
     )
+    key = req.headers.get(_KEY_HEADER)
     target = calls.single_target(ctx, workspace, key)
     reader = await calls.begin(ctx, workspace, target, step)
     answer = await calls.whole_answer(ctx, req, target, reader)
@@ -138,16 +137,21 @@
 
 def _split(req: Request) -> tuple[str, str]:
     raw: Any = req.scope['raw_path']
-    name, slash, path = raw.decode('ascii').removeprefix(_PREFIX).partition('/')
+    name, _, path = raw.decode('ascii').removeprefix(_PREFIX).partition('/')
     path = f'/{path}'
     _check_path(path)
     return name, path
 
 
+def _with_query(path: str, req: Request) -> str:
+    query = req.url.query
+    return f'{path}?{query}' if query else path
+
+
 def _check_path(path: str) -> None:
     """Refuse paths that could mean another one to the service."""
     try:
-        decoded = urllib.parse.unquote(path, errors='strict')
+        decoded = unquote(path, errors='strict')
     except UnicodeDecodeError:
         raise CallError(
             ErrorCode.BAD_REQUEST, 'the path is not UTF-8'
@@ -164,7 +168,7 @@
 def _open_or_key(
     ctx: EntryContext, req: Request, name: str, path: str
 ) -> Workspace:
-    decoded = urllib.parse.unquote(path)
+    decoded = unquote(path)
     workspace = ctx.registry.open_workspace(name, req.method, decoded)
     if workspace is not None and auth.key_of(req) is None:
         return workspace
--- a/src/acaciaramp/fakes/batching.py
+++ b/src/acaciaramp/fakes/batching.py
@@ -98,7 +98,7 @@
         """
         self.running: list[Sequence] = []
         self.waiting: list[Sequence] = []
-        self.busy_ms = 0.0
+        self.busy_ms: float = 0
         self._pace = pace
         self._size = size
         self._clock = clock
--- a/src/acaciaramp/fakes/engine.py
+++ b/src/acaciaramp/fakes/engine.py
@@ -228,7 +228,8 @@
     async def _load(self, req: Request) -> Response:
         age_ms = self._clock.now_ms() - self._report.at_ms
         if age_ms >= self._options.load_lag_ms:
-            stale, self._report = self._report, self._make_report()
+            stale = self._report
+            self._report = self._make_report()
             return _json(stale)
         return _json(self._report)
 
--- a/src/acaciaramp/fakes/faults.py
+++ b/src/acaciaramp/fakes/faults.py
@@ -82,15 +82,6 @@
         self._silenced = 0
         self._changed = anyio.Event()
 
-    def add(self, fault: Fault) -> None:
-        """Show ``fault`` to the next requests that it fits."""
-        self._faults.append(fault)
-
-    async def wait_silenced(self, count: int) -> None:
-        """Return once ``count`` requests were met with silence."""
-        while self._silenced < count:
-            await self._changed.wait()
-
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
@@ -108,6 +99,15 @@
             return
         await self._show(fault, scope, replay, send)
 
+    def add(self, fault: Fault) -> None:
+        """Show ``fault`` to the next requests that it fits."""
+        self._faults.append(fault)
+
+    async def wait_silenced(self, count: int) -> None:
+        """Return once ``count`` requests were met with silence."""
+        while self._silenced < count:
+            await self._changed.wait()
+
     def _next(self, path: str, body: bytes) -> Fault | None:
         for index, fault in enumerate(self._faults):
             if not path.startswith(fault.path):
@@ -137,7 +137,7 @@
             case FaultKind.CRASH:
                 self._crash()
             case FaultKind.CUT:
-                cut = _cutting(send, fault.after_bytes)
+                cut = _CuttingSend(send, fault.after_bytes)
                 await self._app(scope, replay.receive, cut)
             case FaultKind.SLOW:
                 slow = _slowing(send, self._clock, fault.delay_ms)
@@ -190,24 +190,26 @@
             message = await self._receive()
 
 
-def _cutting(send: Send, after_bytes: int) -> Send:
-    left = after_bytes
+class _CuttingSend:
+    """Sends the beginning of an answer, then drops the connection."""
 
-    async def cut(message: Message) -> None:
-        nonlocal left
+    def __init__(self, send: Send, after_bytes: int) -> None:
+        self._send = send
+        self._left = after_bytes
+
+    async def __call__(self, message: Message) -> None:
         if message['type'] != 'http.response.body':
-            await send(message)
+            await self._send(message)
             return
         body = message.get('body', b'')
-        if len(body) < left:
-            left -= len(body)
-            await send(message)
+        if len(body) < self._left:
+            self._left -= len(body)
+            await self._send(message)
             return
-        await send({**message, 'body': body[:left], 'more_body': True})
+        part = body[: self._left]
+        await self._send({**message, 'body': part, 'more_body': True})
         raise CutError
 
-    return cut
-
 
 def _slowing(send: Send, clock: Clock, delay_ms: int) -> Send:
     async def slow(message: Message) -> None:
--- a/src/acaciaramp/fakes/instances.py
+++ b/src/acaciaramp/fakes/instances.py
@@ -18,6 +18,8 @@
 
     from acaciaramp.clock import Clock
 
+_NO_CONTENT = 204
+
 
 class FakeInstances:
     """A list that lags: readers see each change only after a while.
@@ -72,8 +74,8 @@
     async def _put(self, req: Request) -> Response:
         text = (await req.body()).decode().strip()
         self.set(req.path_params['name'], Standing(text))
-        return Response(status_code=204)
+        return Response(status_code=_NO_CONTENT)
 
     async def _delete(self, req: Request) -> Response:
         self.set(req.path_params['name'], None)
-        return Response(status_code=204)
+        return Response(status_code=_NO_CONTENT)
--- a/src/acaciaramp/fakes/service.py
+++ b/src/acaciaramp/fakes/service.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from starlette.requests import Request
 
-_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
+_METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
 
 
 class Execution(msgspec.Struct, frozen=True):
@@ -50,7 +50,7 @@
         return Starlette(
             routes=[
                 Route('/executions', self._list, methods=['GET']),
-                Route('/{path:path}', self._carry_out, methods=_METHODS),
+                Route('/{path:path}', self._carry_out, methods=list(_METHODS)),
             ]
         )
 
--- a/src/acaciaramp/limits/bucket.py
+++ b/src/acaciaramp/limits/bucket.py
@@ -41,7 +41,7 @@
         self._fill()
         if self._burst < 1 or self._rate <= 0:
             return None
-        missing = max(0.0, 1 - self._tokens)
+        missing = max(0, 1 - self._tokens)
         return math.ceil(missing / self._rate * MS_PER_SECOND)
 
     def _fill(self) -> None:
--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -12,6 +12,7 @@
 from acaciaramp.metrics.names import Counter, Timer
 from acaciaramp.peering.messages import (
     PROTOCOL_VERSION,
+    Channel,
     FrameError,
     ReplyFrame,
     RequestFrame,
@@ -25,7 +26,6 @@
 if TYPE_CHECKING:
     from acaciaramp.clock import Clock
     from acaciaramp.metrics.client import Metrics
-    from acaciaramp.programs import api
 
 logger = get_logger('peering')
 
@@ -72,11 +72,14 @@
         """Whether requests can be sent now."""
         return self._sock is not None
 
-    async def request(self, body: api.Request, wait_ms: int) -> api.Reply:
+    async def request(
+        self, channel: Channel, body: bytes, wait_ms: int
+    ) -> bytes:
         """Return the other instance's reply.
 
         Args:
-            body: The request.
+            channel: Which part of the other instance the request is for.
+            body: The request in that part's encoding.
             wait_ms: Longest wait for the reply, milliseconds.
 
         Raises:
@@ -87,7 +90,7 @@
         pending = _Pending()
         try:
             with self._clock.timeout(wait_ms):
-                reply = await self._exchange(body, pending)
+                reply = await self._exchange(channel, body, pending)
         except (TimeoutError, LinkLostError, pynng.NNGException):
             raise CallError(
                 ErrorCode.HOME_UNREACHABLE,
@@ -98,8 +101,6 @@
         self._metrics.time(Timer.PEER, self._clock.now_ms() - started_ms)
         if reply.refusal is not None:
             raise CallError.from_refusal(reply.refusal)
-        if reply.body is None:
-            raise CallError(ErrorCode.INTERNAL, 'the reply is empty')
         return reply.body
 
     async def run(self) -> None:
@@ -120,7 +121,6 @@
             sock.dial(self._url, block=False)
             await self._exchange_heartbeat(sock)
             was_heard = True
-            self._open(sock)
             await self._stay_connected(sock)
         except (TimeoutError, pynng.NNGException):
             if was_heard:
@@ -132,10 +132,11 @@
 
     async def _exchange_heartbeat(self, sock: pynng.Pair1) -> None:
         with self._clock.timeout(SILENCE_MS):
-            await sock.asend(_heartbeat(0))
+            await sock.asend(_HEARTBEAT)
             await sock.arecv()
 
     async def _stay_connected(self, sock: pynng.Pair1) -> None:
+        self._open(sock)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._send_heartbeats, sock)
@@ -147,7 +148,7 @@
         while True:
             await self._clock.sleep_ms(HEARTBEAT_MS)
             with self._clock.timeout(SILENCE_MS):
-                await sock.asend(_heartbeat(0))
+                await sock.asend(_HEARTBEAT)
 
     async def _receive(self, sock: pynng.Pair1) -> None:
         while True:
@@ -180,12 +181,12 @@
             pending.resolve(None)
 
     async def _exchange(
-        self, body: api.Request, pending: _Pending
+        self, channel: Channel, body: bytes, pending: _Pending
     ) -> ReplyFrame:
         while self._sock is None:
             await self._connected.wait()
         number = next(self._numbers)
-        frame = RequestFrame(PROTOCOL_VERSION, number, body)
+        frame = RequestFrame(PROTOCOL_VERSION, number, channel, body)
         self._waiting[number] = pending
         try:
             pending.verdict = Verdict.MAY_HAVE_RUN
@@ -217,5 +218,4 @@
         return self._reply
 
 
-def _heartbeat(number: int) -> bytes:
-    return encode(RequestFrame(PROTOCOL_VERSION, number, None))
+_HEARTBEAT = encode(RequestFrame(PROTOCOL_VERSION, 0, Channel.HEARTBEAT))
--- a/src/acaciaramp/peering/messages.py
+++ b/src/acaciaramp/peering/messages.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from acaciaramp.errors import AcaciarampError, Refusal
-from acaciaramp.programs import api
 
 PROTOCOL_VERSION = 1
 
 
+class Channel(enum.Enum):
+    """Which part of the other instance a request is for."""
+
+    HEARTBEAT = 0
+    PROGRAMS = 1
+
+
 class FrameError(AcaciarampError):
     """A peer sent what is not a frame of this protocol version."""
 
@@ -20,12 +28,14 @@
     Attributes:
         version: Version of the protocol.
         number: Names the request on its link.
-        body: The request, None for a heartbeat.
+        channel: Which part it is for.
+        body: The request in that part's own encoding.
     """
 
     version: int
     number: int
-    body: api.Request | None
+    channel: Channel
+    body: bytes = b''
 
 
 class ReplyFrame(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -34,13 +44,13 @@
     Attributes:
         version: Version of the protocol.
         number: The request's number.
-        body: The reply; None with a refusal and for a heartbeat.
+        body: The reply in the encoding of the request's part.
         refusal: Why there is no reply.
     """
 
     version: int
     number: int
-    body: api.Reply | None
+    body: bytes = b''
     refusal: Refusal | None = None
 
 
--- a/src/acaciaramp/peering/server.py
+++ b/src/acaciaramp/peering/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TYPE_CHECKING
 
 import anyio
@@ -12,13 +12,13 @@
 from acaciaramp.metrics.names import Counter
 from acaciaramp.peering.messages import (
     PROTOCOL_VERSION,
+    Channel,
     FrameError,
     ReplyFrame,
     RequestFrame,
     decode,
     encode,
 )
-from acaciaramp.programs import api
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
 
@@ -30,12 +30,13 @@
 logger = get_logger('peering')
 
 LONGEST_FRAME_BYTES = 67_108_864
-Handler = Callable[[api.Request], Awaitable[api.Reply]]
+Handler = Callable[[bytes], Awaitable[bytes]]
+Handlers = Mapping[Channel, Handler]
 
 
 async def serve_peers(
     url: str,
-    handle: Handler,
+    handlers: Handlers,
     metrics: Metrics,
     *,
     task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
@@ -44,7 +45,7 @@
 
     Args:
         url: Where to listen, ``tcp://IP:PORT``.
-        handle: Carries out a request.
+        handlers: Carries out the requests of each channel.
         metrics: Counts rejected frames.
         task_status: Told when the port is open.
     """
@@ -55,12 +56,12 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 message = await sock.arecv_msg()
-                _take(message, handle, metrics, tasks)
+                _take(message, handlers, metrics, tasks)
 
 
 def _take(
     message: pynng.Message,
-    handle: Handler,
+    handlers: Handlers,
     metrics: Metrics,
     tasks: TaskGroup,
 ) -> None:
@@ -71,21 +72,21 @@
         logger.warning('A frame was rejected.', reason=exc)
         return
     if isinstance(frame, RequestFrame):
-        tasks.start_soon(_answer, message.pipe, frame, handle)
+        tasks.start_soon(_answer, message.pipe, frame, handlers)
 
 
 async def _answer(
-    pipe: pynng.Pipe, frame: RequestFrame, handle: Handler
+    pipe: pynng.Pipe, frame: RequestFrame, handlers: Handlers
 ) -> None:
-    body: api.Reply | None = None
+    body = b''
     refusal: Refusal | None = None
     try:
-        if frame.body is not None:
-            body = await handle(frame.body)
+        if frame.channel is not Channel.HEARTBEAT:
+            body = await handlers[frame.channel](frame.body)
     except CallError as exc:
         refusal = exc.refusal
     except Exception as exc:
-        logger.error('A request failed unexpectedly.', error=repr(exc))
+        logger.failure('A request failed unexpectedly.', exc)
         refusal = CallError(
             ErrorCode.INTERNAL, 'an internal error', Verdict.MAY_HAVE_RUN
         ).refusal
--- a/src/acaciaramp/programs/api.py
+++ b/src/acaciaramp/programs/api.py
@@ -10,7 +10,7 @@
 
 from acaciaramp.errors import Refusal
 from acaciaramp.ids import ProgramId, ServiceName, StepNumber, WorkspaceId
-from acaciaramp.programs.records import (
+from acaciaramp.records import (
     Answer,
     Budget,
     EndReason,
--- a/src/acaciaramp/programs/create.py
+++ b/src/acaciaramp/programs/create.py
@@ -6,7 +6,7 @@
 
 from acaciaramp.clock import MS_PER_SECOND
 from acaciaramp.errors import CallError, ErrorCode
-from acaciaramp.programs.records import Budget, Program
+from acaciaramp.records import Budget, Program
 
 if TYPE_CHECKING:
     from acaciaramp.documents.registry import Registry
--- a/src/acaciaramp/programs/dispatch.py
+++ b/src/acaciaramp/programs/dispatch.py
@@ -7,6 +7,7 @@
 
 from acaciaramp.endpoints.calls import Call, EndpointError, Failure
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.ids import EndpointId
 from acaciaramp.metrics.names import Counter, Timer
 from acaciaramp.programs.commands import BeginAttempt, EndAttempt
 from acaciaramp.programs.history import messages_before
@@ -22,9 +23,10 @@
     from acaciaramp.endpoints.calls import Sender
     from acaciaramp.metrics.client import Metrics
     from acaciaramp.programs.log import CommandLog
-    from acaciaramp.programs.records import Answer, Program, Step
     from acaciaramp.programs.runs import Run
-    from acaciaramp.scheduling.scheduler import Placement, Scheduler
+    from acaciaramp.records import Answer, Program, Step
+    from acaciaramp.scheduling.placement import Placement
+    from acaciaramp.scheduling.scheduler import Scheduler
     from acaciaramp.settings.model import Retries
 
 logger = get_logger('dispatch')
@@ -109,7 +111,7 @@
                 program=record.program,
                 number=step.number,
                 attempt=number,
-                endpoint=placement.endpoint.id,
+                endpoint=EndpointId(placement.endpoint.id),
                 reason=placement.reason.value,
                 queued_ms=placement.queued_ms,
             )
--- a/src/acaciaramp/programs/expiry.py
+++ b/src/acaciaramp/programs/expiry.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from acaciaramp.clock import MS_PER_SECOND
-from acaciaramp.programs.records import EndReason, ProgramState
+from acaciaramp.records import EndReason, ProgramState
 
 if TYPE_CHECKING:
     from acaciaramp.ids import ProgramId
     from acaciaramp.programs.machine import Programs
-    from acaciaramp.programs.records import Program
+    from acaciaramp.records import Program
 
 
 def due_reason(record: Program, now_ms: int) -> EndReason | None:
--- a/src/acaciaramp/programs/history.py
+++ b/src/acaciaramp/programs/history.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from acaciaramp.programs.records import StepKind, StepState
+from acaciaramp.records import StepKind, StepState
 
 if TYPE_CHECKING:
     from acaciaramp.ids import StepNumber
-    from acaciaramp.programs.records import Program
+    from acaciaramp.records import Program
 
 _messages = msgspec.json.Decoder(list[msgspec.Raw])
 
--- a/src/acaciaramp/programs/home.py
+++ b/src/acaciaramp/programs/home.py
@@ -20,7 +20,9 @@
 )
 from acaciaramp.programs.create import new_record
 from acaciaramp.programs.dispatch import verdict_of
-from acaciaramp.programs.records import (
+from acaciaramp.programs.reserve import worst_case
+from acaciaramp.programs.runs import Run
+from acaciaramp.records import (
     Answer,
     EndReason,
     Program,
@@ -28,8 +30,6 @@
     Step,
     StepState,
 )
-from acaciaramp.programs.reserve import worst_case
-from acaciaramp.programs.runs import Run
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -220,11 +220,17 @@
         step = record.running
         if step is None:
             self._releases.add(record)
-        elif (record.program, step.number) in self._runs:
-            self._runs[record.program, step.number].scope.cancel()
-        for child in record.children:
-            if child in self._state.by_id:
-                self._after_end(self._state.by_id[child])
+        else:
+            self._cancel(record.program, step.number)
+        for name in record.children:
+            child = self._state.by_id.get(name)
+            if child is not None:
+                self._after_end(child)
+
+    def _cancel(self, program: ProgramId, number: StepNumber) -> None:
+        run = self._runs.get((program, number))
+        if run is not None:
+            run.scope.cancel()
 
     def _owned(self, program: ProgramId, workspace: WorkspaceId) -> Program:
         record = self._state.get(program)
@@ -235,15 +241,11 @@
         return record
 
     async def _wait_previous(self, record: Program, number: StepNumber) -> None:
+        previous = record.program, StepNumber(number - 1)
         try:
             with self._clock.timeout(self._settings.waits.previous_step_ms):
-                while number > len(record.steps):
-                    run = self._runs.get(
-                        (record.program, StepNumber(number - 1))
-                    )
-                    if run is None:
-                        break
-                    await run.wait_change()
+                while previous in self._runs and number not in record.steps:
+                    await self._runs[previous].wait_change()
         except TimeoutError:
             raise CallError(
                 ErrorCode.STEP_CONFLICT,
@@ -267,11 +269,14 @@
         try:
             await self._run_to_end(record, step, run)
         finally:
-            self._runs.pop((record.program, step.number), None)
-            if record.state is ProgramState.ENDED:
-                self._releases.add(record)
+            self._after_run(record, step)
             self._metrics.time(Timer.STEP, self._clock.now_ms() - started_ms)
 
+    def _after_run(self, record: Program, step: Step) -> None:
+        self._runs.pop((record.program, step.number), None)
+        if record.state is ProgramState.ENDED:
+            self._releases.add(record)
+
     async def _run_to_end(self, record: Program, step: Step, run: Run) -> None:
         service = self._registry.service(step.request.service)
         longest_ms = min(
--- a/src/acaciaramp/programs/machine.py
+++ b/src/acaciaramp/programs/machine.py
@@ -11,7 +11,7 @@
 
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.programs import commands as cmds
-from acaciaramp.programs.records import (
+from acaciaramp.records import (
     Attempt,
     Budget,
     EndReason,
@@ -117,8 +117,7 @@
     if not record.left.covers(command.reserved):
         raise CallError(
             ErrorCode.BUDGET_EXHAUSTED,
-            f'the step may need {command.reserved.tokens} tokens, '
-            f'{record.left.tokens} tokens and {record.left.calls} calls are left',
+            f'the step may need {command.reserved}, left is {record.left}',
         )
     size = len(command.request.body)
     if record.stored_bytes + size > record.history_bytes:
--- a/src/acaciaramp/programs/releases.py
+++ b/src/acaciaramp/programs/releases.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from acaciaramp.endpoints.calls import EndpointError
-from acaciaramp.programs.records import StepKind
+from acaciaramp.records import StepKind
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -14,7 +14,7 @@
     from acaciaramp.documents.model import Endpoint
     from acaciaramp.documents.registry import Registry
     from acaciaramp.ids import ProgramId
-    from acaciaramp.programs.records import Program
+    from acaciaramp.records import Program
 
 logger = get_logger('releases')
 
--- a/src/acaciaramp/programs/reserve.py
+++ b/src/acaciaramp/programs/reserve.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from acaciaramp.programs.records import Budget, StepKind
+from acaciaramp.records import Budget, StepKind
 
 if TYPE_CHECKING:
-    from acaciaramp.programs.records import Program, Step, StepRequest
+    from acaciaramp.records import Program, Step, StepRequest
 
 # A byte-level tokenizer makes at most one token of a byte; the chat template
 # adds a few around the new messages.
--- a/src/acaciaramp/programs/runs.py
+++ b/src/acaciaramp/programs/runs.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from acaciaramp.errors import Refusal
     from acaciaramp.programs.api import Read
-    from acaciaramp.programs.records import Answer
+    from acaciaramp.records import Answer
 
 
 class Run:
--- a/src/acaciaramp/scheduling/placement.py
+++ b/src/acaciaramp/scheduling/placement.py
@@ -9,7 +9,7 @@
     from collections.abc import Mapping, Sequence
 
     from acaciaramp.documents.model import Endpoint
-    from acaciaramp.programs.records import Program, Step
+    from acaciaramp.records import Program, Step
 
 
 class Reason(enum.Enum):
--- a/src/acaciaramp/scheduling/scheduler.py
+++ b/src/acaciaramp/scheduling/scheduler.py
@@ -29,7 +29,7 @@
     from acaciaramp.documents.registry import Registry
     from acaciaramp.endpoints.calls import EndpointError
     from acaciaramp.metrics.client import Metrics
-    from acaciaramp.programs.records import Program, Step
+    from acaciaramp.records import Program, Step
 
 logger = get_logger('scheduling')
 
@@ -171,12 +171,14 @@
             if pause_ms is None:
                 await waiter.ready.wait()
                 continue
-            with contextlib.suppress(TimeoutError):
-                with self._clock.timeout(pause_ms):
-                    await waiter.ready.wait()
+            await self._wait_at_most(waiter, pause_ms)
             self.wake(service)
         return waiter.chosen
 
+    async def _wait_at_most(self, waiter: _Waiter, pause_ms: int) -> None:
+        with contextlib.suppress(TimeoutError), self._clock.timeout(pause_ms):
+            await waiter.ready.wait()
+
     def _give_back(self, service: Service, waiter: _Waiter) -> None:
         if waiter.chosen is not None:
             self._in_flight[waiter.chosen[0].id] -= 1
--- a/src/acaciaramp/util/logs.py
+++ b/src/acaciaramp/util/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging as standard_logging
+import traceback
 from typing import Any
 
 from absl import flags, logging
@@ -29,6 +30,12 @@
         """Log what an operator has to look at."""
         logging.error('%s', self._line(sentence, fields))
 
+    def failure(self, sentence: str, exc: BaseException) -> None:
+        """Log a defect with the place where it shows."""
+        frames = traceback.extract_tb(exc.__traceback__)
+        place = f'{frames[-1].filename}:{frames[-1].lineno}' if frames else '-'
+        self.error(sentence, error=repr(exc), place=place)
+
     def _line(self, sentence: str, fields: dict[str, Any]) -> str:
         words = [f'{self._part}: {sentence}']
         words.extend(f'{name}={text}' for name, text in fields.items())
--- a/src/acaciaramp/util/sse.py
+++ b/src/acaciaramp/util/sse.py
@@ -31,7 +31,8 @@
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that ``chunk`` completes."""
         text = self._rest + chunk.replace(b'\r\n', b'\n')
-        *blocks, self._rest = text.split(_END)
+        *blocks, rest = text.split(_END)
+        self._rest = rest
         return [event for event in map(_parse, blocks) if event is not None]
 
 
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests."""
+"""Tests; they mirror the packages."""
