Prove the callers' interface with scenarios and unit tests

Found on the way: a stand-in that raises is answered with 500 by its server, which is an answer and no crash; stand-ins now drop the connection instead. Admission into the stand-in's batch looked at finished sequences.

--- a/src/acaciaramp/application.py
+++ b/src/acaciaramp/application.py
@@ -11,16 +11,19 @@
 from acaciaramp.cells.router import Router, answer_wire
 from acaciaramp.clock import SystemClock
 from acaciaramp.documents.registry import Registry, load_document
+from acaciaramp.endpoints.engine import EngineClient
 from acaciaramp.endpoints.http import HttpClient
 from acaciaramp.entry.asgi import make_app
 from acaciaramp.entry.context import EntryContext
 from acaciaramp.entry.protocol import GuardedProtocol
 from acaciaramp.ids import InstanceId
 from acaciaramp.limits.admission import Admission
+from acaciaramp.membership.leaving import LeavingList
 from acaciaramp.metrics.client import Metrics
 from acaciaramp.peering.link import Link
 from acaciaramp.peering.messages import Channel
 from acaciaramp.peering.server import serve_peers
+from acaciaramp.programs.releases import Releases
 from acaciaramp.util.logs import get_logger
 from acaciaramp.util.webserver import open_port, serving
 
@@ -40,6 +43,8 @@
     Attributes:
         metrics: Its counters.
         ready: Set once callers are served.
+        releases: Frees the engine memory of ended programs.
+        leaving: Endpoints that leave.
     """
 
     def __init__(
@@ -58,6 +63,9 @@
         self._clock = clock
         self._registry = Registry(document)
         self._http = HttpClient(self._clock)
+        self._engine = EngineClient(self._http, clock, self.metrics)
+        self.releases = Releases(self._engine.release, self._registry, clock)
+        self.leaving = LeavingList(settings.instance_list, self._http, clock)
         self._is_stopping = False
 
     @classmethod
@@ -90,7 +98,10 @@
         home = build_home(
             settings,
             self._registry,
+            self._engine,
+            self.releases,
             self._http,
+            self.leaving,
             self._clock,
             self.metrics,
             tasks,
--- a/src/acaciaramp/assembly.py
+++ b/src/acaciaramp/assembly.py
@@ -4,15 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from acaciaramp.endpoints.engine import EngineClient
 from acaciaramp.endpoints.plain import PlainClient
 from acaciaramp.endpoints.sending import make_sender
-from acaciaramp.membership.leaving import LeavingList
 from acaciaramp.programs.dispatch import Dispatcher
 from acaciaramp.programs.home import Home
 from acaciaramp.programs.log import MemoryLog
 from acaciaramp.programs.machine import Programs
-from acaciaramp.programs.releases import Releases
 from acaciaramp.scheduling.scheduler import Scheduler
 
 if TYPE_CHECKING:
@@ -20,8 +17,11 @@
 
     from acaciaramp.clock import Clock
     from acaciaramp.documents.registry import Registry
+    from acaciaramp.endpoints.engine import EngineClient
     from acaciaramp.endpoints.http import HttpClient
+    from acaciaramp.membership.leaving import LeavingList
     from acaciaramp.metrics.client import Metrics
+    from acaciaramp.programs.releases import Releases
     from acaciaramp.settings.model import Settings
 
 _EXPIRY_PERIOD_MS = 1_000
@@ -30,7 +30,10 @@
 def build_home(
     settings: Settings,
     registry: Registry,
+    engine: EngineClient,
+    releases: Releases,
     http: HttpClient,
+    leaving: LeavingList,
     clock: Clock,
     metrics: Metrics,
     tasks: TaskGroup,
@@ -40,14 +43,16 @@
     Args:
         settings: The instance's settings.
         registry: The document in force.
+        engine: Client of engines.
+        releases: Frees the engine memory of ended programs.
         http: Connections to endpoints.
+        leaving: Endpoints that leave.
         clock: Source of time.
         metrics: Counters and timers.
         tasks: Where steps and the serving tasks run.
     """
-    engine = EngineClient(http, clock, metrics)
-    releases = Releases(engine.release, registry, clock)
     tasks.start_soon(releases.run)
+    tasks.start_soon(leaving.run)
     state = Programs()
     home = Home(
         state=state,
@@ -55,7 +60,7 @@
         registry=registry,
         dispatcher=Dispatcher(
             scheduler=_build_scheduler(
-                settings, registry, http, clock, metrics, tasks
+                settings, registry, leaving, clock, metrics
             ),
             send=make_sender(engine, PlainClient(http)),
             retries=settings.retries,
@@ -75,14 +80,10 @@
 def _build_scheduler(
     settings: Settings,
     registry: Registry,
-    http: HttpClient,
+    leaving: LeavingList,
     clock: Clock,
     metrics: Metrics,
-    tasks: TaskGroup,
 ) -> Scheduler:
-    leaving = LeavingList(settings.instance_list, http, clock)
-    if settings.instance_list is not None:
-        tasks.start_soon(leaving.run)
     return Scheduler(
         registry=registry,
         zone=settings.availability_zone,
--- a/src/acaciaramp/cmd/fake.py
+++ b/src/acaciaramp/cmd/fake.py
@@ -11,6 +11,7 @@
 from acaciaramp.clock import SystemClock
 from acaciaramp.cmd.running import Daemon, run_daemon
 from acaciaramp.fakes.batching import Pace
+from acaciaramp.fakes.connections import DroppableProtocol
 from acaciaramp.fakes.engine import EngineOptions, FakeEngine
 from acaciaramp.fakes.faults import Fault, FaultKind, FaultyApp
 from acaciaramp.fakes.instances import FakeInstances
@@ -19,7 +20,7 @@
 from acaciaramp.util.webserver import open_port, serving
 
 if TYPE_CHECKING:
-    from starlette.types import ASGIApp
+    from starlette.types import ASGIApp, Scope
 
 _CRASH_STATUS = 70
 _ALWAYS = 1_000_000_000
@@ -135,11 +136,11 @@
         )
 
     async def daemon(stop: anyio.Event) -> None:
-        async with serving(faulty, open_port(host, port)):
+        async with serving(faulty, open_port(host, port), DroppableProtocol):
             await stop.wait()
 
     return daemon
 
 
-def _crash() -> None:
+def _crash(scope: Scope) -> None:
     os._exit(_CRASH_STATUS)
--- a/src/acaciaramp/entry/protocol.py
+++ b/src/acaciaramp/entry/protocol.py
@@ -82,9 +82,7 @@
             return
         super().on_headers_complete()
 
-    def send_400_response(  # noqa: WPS114 - named by the base class
-        self, msg: str
-    ) -> None:
+    def send_400_response(self, msg: str) -> None:
         """Refuse what is not HTTP in the form of all errors."""
         self._refuse(_MALFORMED, 'the request is not valid HTTP')
 
--- a/src/acaciaramp/fakes/batching.py
+++ b/src/acaciaramp/fakes/batching.py
@@ -121,9 +121,9 @@
             await self._step()
 
     async def _step(self) -> None:
+        self.running = [item for item in self.running if not item.is_over]
         while self.waiting and len(self.running) < self._size:
             self.running.append(self.waiting.pop(0))
-        self.running = [item for item in self.running if not item.is_over]
         prefill = sum(item.prefill_tokens for item in self.running)
         duration_ms = self._pace.of_step(len(self.running), prefill)
         await self._clock.sleep_ms(max(1, round(duration_ms)))
--- a/src/acaciaramp/fakes/faults.py
+++ b/src/acaciaramp/fakes/faults.py
@@ -11,6 +11,8 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 
+from acaciaramp.fakes.connections import drop
+
 if TYPE_CHECKING:
     from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
@@ -27,6 +29,7 @@
     SILENT = 'silent'
     CUT = 'cut'
     CRASH = 'crash'
+    RESET = 'reset'
     SLOW = 'slow'
     LATE = 'late'
 
@@ -66,7 +69,7 @@
     """
 
     def __init__(
-        self, app: ASGIApp, clock: Clock, crash: Callable[[], None]
+        self, app: ASGIApp, clock: Clock, crash: Callable[[Scope], None]
     ) -> None:
         """Wrap ``app``.
 
@@ -135,7 +138,9 @@
             case FaultKind.SILENT:
                 await self._stay_silent(replay)
             case FaultKind.CRASH:
-                self._crash()
+                self._crash(scope)
+            case FaultKind.RESET:
+                drop(scope)
             case FaultKind.CUT:
                 cut = _CuttingSend(send, fault.after_bytes)
                 await self._app(scope, replay.receive, cut)
--- a/src/acaciaramp/membership/leaving.py
+++ b/src/acaciaramp/membership/leaving.py
@@ -77,8 +77,8 @@
         return endpoint in self._leaving
 
     async def run(self) -> None:
-        """Poll the list until cancelled."""
-        while True:
+        """Poll the list until cancelled, if there is one."""
+        while self._address is not None:
             await self.poll()
             await self._clock.sleep_ms(_POLL_MS)
 
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,219 @@
+"""A deployment in one process: instances and stand-ins over loopback."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpcore
+
+from acaciaramp.application import Application
+from acaciaramp.clock import Clock, SystemClock
+from acaciaramp.documents.model import Document
+from acaciaramp.fakes.batching import Pace
+from acaciaramp.fakes.connections import DroppableProtocol, drop
+from acaciaramp.fakes.engine import EngineOptions, FakeEngine
+from acaciaramp.fakes.faults import FaultyApp
+from acaciaramp.fakes.instances import FakeInstances
+from acaciaramp.fakes.service import FakeService
+from acaciaramp.util.webserver import open_port, serving
+from tests import builders as build
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_PORT = 7000
+_INNER_PORT = 7100
+
+
+@dataclasses.dataclass
+class Plan:
+    """What a deployment consists of.
+
+    Attributes:
+        instances: Number of instances.
+        engines: Number of engines.
+        pace: How fast the engines work.
+        document: Members of the document that differ from the builder's.
+        settings: Members of the settings that differ from the builder's.
+        clock: The clock of all processes.
+    """
+
+    instances: int = 1
+    engines: int = 2
+    pace: Pace = dataclasses.field(default_factory=Pace)
+    document: dict[str, Any] = dataclasses.field(default_factory=dict)
+    settings: dict[str, Any] = dataclasses.field(default_factory=dict)
+    clock: Clock = dataclasses.field(default_factory=SystemClock)
+
+
+@dataclasses.dataclass
+class Reply:
+    """An answer as a caller sees it.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers by lower-case name.
+        body: The body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+
+class Deployment:
+    """A running deployment.
+
+    Attributes:
+        engines: The engines by id.
+        service: The plain service.
+        listing: The platform's instance list.
+        faults: Where faults are added, by stand-in.
+        apps: The instances by number, from 1.
+        stops: Set to stop an instance, by number.
+        stopped: Set when an instance has stopped, by number.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        """Create the deployment; ``running`` starts it."""
+        self.plan = plan
+        self.host = build.loopback_host()
+        self.engines: dict[str, FakeEngine] = {}
+        self.service = FakeService()
+        self.faults: dict[str, FaultyApp] = {}
+        self.apps: dict[int, Application] = {}
+        self.stops: dict[int, anyio.Event] = {}
+        self.stopped: dict[int, anyio.Event] = {}
+        self.listing = FakeInstances([], 0, plan.clock)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[Deployment]:
+        """Run everything while the body runs."""
+        async with contextlib.AsyncExitStack() as stack:
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            addresses = await self._start_engines(stack, tasks)
+            service = await self._serve(stack, 'atelier-1', self.service.app())
+            listing = await self._serve(stack, 'list', self.listing.app())
+            tree = build.document_tree(addresses, {'atelier-1': service})
+            document = Document.model_validate({**tree, **self.plan.document})
+            for number in range(1, self.plan.instances + 1):
+                await self._start_instance(number, document, listing, tasks)
+            yield self
+            for stop in self.stops.values():
+                stop.set()
+            for stopped in self.stopped.values():
+                await stopped.wait()
+            tasks.cancel_scope.cancel()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        instance: int = 1,
+        key: str = build.KEY,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Return the answer of an instance.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: Bytes as they are; anything else as JSON; None for none.
+            instance: The instance that is asked.
+            key: The caller's key; empty for none.
+            headers: Further headers.
+        """
+        sent = list((headers or {}).items())
+        if key:
+            sent.append(('Authorization', f'Bearer {key}'))
+        content = body
+        if body is not None and not isinstance(body, bytes):
+            content = json.dumps(body).encode()
+        async with httpcore.AsyncConnectionPool() as pool:
+            resp = await pool.request(
+                method,
+                self.address(instance) + path,
+                headers=sent,
+                content=content,
+            )
+        names = [
+            (name.decode().lower(), text.decode())
+            for name, text in resp.headers
+        ]
+        return Reply(resp.status, dict(names), resp.content)
+
+    def address(self, instance: int = 1) -> str:
+        """Return the address of an instance for callers."""
+        return f'http://{self.host}:{_PORT + instance}'
+
+    async def _start_engines(
+        self, stack: contextlib.AsyncExitStack, tasks: anyio.abc.TaskGroup
+    ) -> dict[str, str]:
+        addresses = {}
+        for number in range(1, self.plan.engines + 1):
+            name = f'engine-{number}'
+            options = EngineOptions(models=(build.MODEL,), pace=self.plan.pace)
+            engine = FakeEngine(options, self.plan.clock)
+            self.engines[name] = engine
+            tasks.start_soon(engine.run)
+            addresses[name] = await self._serve(stack, name, engine.app())
+        return addresses
+
+    async def _serve(
+        self, stack: contextlib.AsyncExitStack, name: str, app: Any
+    ) -> str:
+        faulty = FaultyApp(app, self.plan.clock, drop)
+        self.faults[name] = faulty
+        sock = open_port(self.host, 0)
+        await stack.enter_async_context(
+            serving(faulty, sock, DroppableProtocol)
+        )
+        return f'http://{self.host}:{sock.getsockname()[1]}'
+
+    async def _start_instance(
+        self,
+        number: int,
+        document: Document,
+        listing: str,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        settings = build.settings(
+            instance=f'entry-{number}',
+            callers={'host': self.host, 'port': _PORT + number},
+            inner={'host': self.host, 'port': _INNER_PORT + number},
+            peers=self._peers_of(number),
+            instance_list=f'{listing}/instances',
+            **self.plan.settings,
+        )
+        app = Application(settings, document, self.plan.clock)
+        self.apps[number] = app
+        self.stops[number] = anyio.Event()
+        self.stopped[number] = anyio.Event()
+        tasks.start_soon(self._run_instance, number)
+        await app.ready.wait()
+
+    def _peers_of(self, number: int) -> list[dict[str, Any]]:
+        return [
+            {
+                'instance': f'entry-{peer}',
+                'host': self.host,
+                'port': _INNER_PORT + peer,
+            }
+            for peer in range(1, self.plan.instances + 1)
+            if peer != number
+        ]
+
+    async def _run_instance(self, number: int) -> None:
+        await self.apps[number].run(self.stops[number])
+        self.stopped[number].set()
--- /dev/null
+++ b/tests/fakes/test_engine_parts.py
@@ -0,0 +1,79 @@
+"""The stand-in engine's cache, batch and orders behave as real ones do."""
+
+from __future__ import annotations
+
+import anyio
+
+from acaciaramp.clock import ManualClock
+from acaciaramp.fakes.batching import Batch, Pace, Sequence
+from acaciaramp.fakes.model import Prompt, speak
+from acaciaramp.fakes.orders import Held, Order, OrderKind, carry_out
+from acaciaramp.fakes.prefix_cache import CacheChange, PrefixCache
+
+
+def words(prefix: str, count: int) -> list[str]:
+    return [f'{prefix}{number}' for number in range(count)]
+
+
+def test_prefix_is_found_and_held_blocks_stay_longest() -> None:
+    cache = PrefixCache(4, ManualClock())
+    cache.store('kept', words('a', 32))
+    cache.store('gone', words('b', 32))
+    assert cache.release('gone')
+    cache.store('new', words('c', 32))
+    assert cache.cached_tokens([*words('a', 32), 'more']) == 32
+    assert cache.cached_tokens(words('b', 32)) == 0
+    assert set(cache.held) == {'kept', 'new'}
+
+
+def test_events_are_late_numbered_and_have_gaps() -> None:
+    clock = ManualClock()
+    cache = PrefixCache(2, clock)
+    cache.store('a', words('a', 48))
+    assert not cache.events_after(0, 100, 0)
+    clock.advance(100)
+    events = cache.events_after(0, 100, 0)
+    assert [event.number for event in events] == [1, 2, 3, 4]
+    assert events[2].change is CacheChange.EVICTED
+    gaps = cache.events_after(0, 100, 2)
+    assert [event.number for event in gaps] == [1, 3]
+
+
+def test_each_step_gives_each_running_sequence_a_token() -> None:
+    async def scenario() -> None:
+        clock = ManualClock()
+        pace = Pace(step_ms=10, step_each_ms=5, prefill_tokens_per_ms=1)
+        batch = Batch(pace, 2, clock)
+        speech = speak([Prompt('user', 'hi')], 3)
+        sequences = [Sequence(str(number), speech, 20) for number in range(3)]
+        for sequence in sequences:
+            batch.add(sequence)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(batch.run)
+            await anyio.wait_all_tasks_blocked()
+            clock.advance(54)
+            await anyio.wait_all_tasks_blocked()
+            assert [sequence.said for sequence in sequences] == [0, 0, 0]
+            clock.advance(1)
+            await anyio.wait_all_tasks_blocked()
+            assert [sequence.said for sequence in sequences] == [1, 1, 0]
+            sequences[0].cancel()
+            clock.advance(15)
+            await anyio.wait_all_tasks_blocked()
+            clock.advance(40)
+            await anyio.wait_all_tasks_blocked()
+            assert [sequence.said for sequence in sequences] == [2, 3, 1]
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+def test_old_fencing_number_is_refused_where_it_is_checked() -> None:
+    held = Held(models=['a'])
+    newer = Order(2, OrderKind.LOAD_MODEL, 'b')
+    older = Order(1, OrderKind.UNLOAD_MODEL, 'a')
+    assert carry_out(held, newer, checks_fencing=True)
+    assert not carry_out(held, older, checks_fencing=True)
+    assert held.models == ['a', 'b']
+    assert carry_out(held, older, checks_fencing=False)
+    assert held.models == ['b']
--- /dev/null
+++ b/tests/peering/test_link.py
@@ -0,0 +1,133 @@
+"""Links between instances: requests, refusals, garbage, silence."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pynng
+import pytest
+
+from acaciaramp.clock import ManualClock, SystemClock
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.metrics.client import Metrics
+from acaciaramp.peering.link import Link
+from acaciaramp.peering.messages import (
+    Channel,
+    FrameError,
+    ReplyFrame,
+    decode,
+    encode,
+)
+from acaciaramp.peering.server import serve_peers
+from acaciaramp.verdicts import Verdict
+from tests import builders as build
+
+Handler = Callable[[bytes], Awaitable[bytes]]
+_WAIT_MS = 5_000
+
+
+async def exchange(handler: Handler, *bodies: bytes) -> list[bytes]:
+    """Return the replies of a server to the bodies, sent at once."""
+    url = f'tcp://{build.loopback_host()}:7000'
+    metrics = Metrics()
+    replies: dict[bytes, bytes] = {}
+    link = Link('entry-2', url, SystemClock(), metrics)
+
+    async def ask(body: bytes) -> None:
+        replies[body] = await link.request(Channel.PROGRAMS, body, _WAIT_MS)
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(
+            serve_peers, url, {Channel.PROGRAMS: handler}, metrics
+        )
+        tasks.start_soon(link.run)
+        async with anyio.create_task_group() as asking:
+            for body in bodies:
+                asking.start_soon(ask, body)
+        tasks.cancel_scope.cancel()
+    return [replies[body] for body in bodies]
+
+
+def test_crossed_replies_reach_their_requests() -> None:
+    second_came = anyio.Event()
+
+    async def handler(body: bytes) -> bytes:
+        if body == b'first':
+            await second_came.wait()
+        second_came.set()
+        return b'reply to ' + body
+
+    replies = anyio.run(exchange, handler, b'first', b'second')
+    assert replies == [b'reply to first', b'reply to second']
+
+
+def test_refusal_travels_with_its_verdict() -> None:
+    async def handler(body: bytes) -> bytes:
+        raise CallError(ErrorCode.QUEUE_FULL, 'full', Verdict.NOT_RUN, 7)
+
+    with pytest.raises(ExceptionGroup) as caught:
+        anyio.run(exchange, handler, b'x')
+    error = _only(caught.value)
+    assert error.refusal.code is ErrorCode.QUEUE_FULL
+    assert error.refusal.retry_after_ms == 7
+
+
+def test_unreachable_instance_has_not_run_the_request() -> None:
+    async def scenario() -> CallError:
+        clock = ManualClock()
+        link = Link('entry-2', 'tcp://127.0.0.1:1', clock, Metrics())
+        errors: list[CallError] = []
+
+        async def ask() -> None:
+            try:
+                await link.request(Channel.PROGRAMS, b'', 100)
+            except CallError as exc:
+                errors.append(exc)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.wait_all_tasks_blocked()
+            clock.advance(100)
+        return errors[0]
+
+    error = anyio.run(scenario)
+    assert error.refusal.code is ErrorCode.HOME_UNREACHABLE
+    assert error.refusal.verdict is Verdict.NOT_RUN
+
+
+def test_garbage_is_counted_and_harms_nobody() -> None:
+    async def scenario() -> Metrics:
+        url = f'tcp://{build.loopback_host()}:7000'
+        metrics = Metrics()
+        link = Link('entry-2', url, SystemClock(), metrics)
+
+        async def handler(body: bytes) -> bytes:
+            return body
+
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(
+                serve_peers, url, {Channel.PROGRAMS: handler}, metrics
+            )
+            with pynng.Pair1(dial=url) as hostile:
+                await hostile.asend(b'\xff garbage')
+                await hostile.asend(encode(ReplyFrame(99, 1)))
+                tasks.start_soon(link.run)
+                await link.request(Channel.PROGRAMS, b'x', _WAIT_MS)
+            tasks.cancel_scope.cancel()
+        return metrics
+
+    assert anyio.run(scenario).counts['link.rejected'] == 2
+
+
+def test_other_protocol_versions_are_named() -> None:
+    with pytest.raises(FrameError, match='protocol version 99'):
+        decode(encode(ReplyFrame(99, 1)))
+
+
+def _only(group: ExceptionGroup[Exception]) -> CallError:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    assert isinstance(error, CallError)
+    return error
--- /dev/null
+++ b/tests/programs/test_expiry.py
@@ -0,0 +1,30 @@
+"""Programs end at their deadline or when idle, and are forgotten later."""
+
+from __future__ import annotations
+
+from acaciaramp.programs import expiry
+from acaciaramp.programs.commands import CreateProgram
+from acaciaramp.programs.machine import Programs, apply
+from acaciaramp.records import EndReason, ProgramState
+from tests import builders as build
+
+
+def test_program_ends_at_its_deadline() -> None:
+    record = build.program(deadline_ms=50, idle_ms=1_000)
+    assert expiry.due_reason(record, 49) is None
+    assert expiry.due_reason(record, 50) is EndReason.DEADLINE
+
+
+def test_idle_program_ends_but_not_while_a_step_runs() -> None:
+    state = Programs()
+    apply(state, CreateProgram(build.program(idle_ms=10)))
+    record = state.by_id[build.PROGRAM]
+    assert expiry.due_reason(record, 10) is EndReason.IDLE
+    apply(state, build.begin_step(1))
+    assert expiry.due_reason(record, 500) is None
+
+
+def test_ended_program_is_kept_for_its_retention() -> None:
+    record = build.program(state=ProgramState.ENDED, touched_ms=1_000)
+    assert not expiry.is_forgettable(record, 2_999, 2)
+    assert expiry.is_forgettable(record, 3_000, 2)
--- /dev/null
+++ b/tests/retries/test_budget.py
@@ -0,0 +1,29 @@
+"""Retries stay within their share of the load."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from acaciaramp.retries.budget import RetryBudget
+
+
+@given(st.lists(st.booleans(), max_size=200))
+def test_retries_never_exceed_ratio_and_reserve(events: list[bool]) -> None:
+    budget = RetryBudget(ratio=0.1, reserve=2)
+    requests = 0
+    retries = 0
+    for is_request in events:
+        if is_request:
+            budget.on_request()
+            requests += 1
+        elif budget.try_retry():
+            retries += 1
+        assert retries <= 0.1 * requests + 2
+
+
+def test_retries_are_allowed_up_to_the_bound() -> None:
+    budget = RetryBudget(ratio=0.1, reserve=1)
+    for _ in range(20):
+        budget.on_request()
+    assert [budget.try_retry() for _ in range(4)] == [True, True, True, False]
--- /dev/null
+++ b/tests/scheduling/test_scheduler.py
@@ -0,0 +1,165 @@
+"""Places, queues, order and endpoints that must get nothing."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from acaciaramp.clock import ManualClock
+from acaciaramp.endpoints.calls import EndpointError, Failure
+from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.metrics.client import Metrics
+from acaciaramp.records import Budget, Program, Step
+from acaciaramp.scheduling.scheduler import Scheduler
+from acaciaramp.verdicts import Verdict
+from tests import builders as build
+
+_ENGINES = {'engine-1': 'http://127.0.0.1:1', 'engine-2': 'http://127.0.0.1:2'}
+
+
+class Bench:
+    """A scheduler with one place at each of its endpoints."""
+
+    def __init__(self, engines: dict[str, str], queue_length: int = 10) -> None:
+        self.clock = ManualClock()
+        self.leaving: set[str] = set()
+        self.order: list[str] = []
+        self.registry = build.registry(engines=engines)
+        self.service = self.registry.service(build.MODEL)
+        self.scheduler = Scheduler(
+            registry=self.registry,
+            zone='medina-nord',
+            instances=8,
+            queue_length=queue_length,
+            queue_ms=1_000,
+            clock=self.clock,
+            metrics=Metrics(),
+            is_leaving=self.leaving.__contains__,
+        )
+
+    async def hold(
+        self, name: str, step: Step, release: anyio.Event, used: int = 0
+    ) -> None:
+        record = build.program(used=Budget(used, 0))
+        async with self.scheduler.place(self.service, record, step) as place:
+            self.order.append(f'{name}@{place.endpoint.id}')
+            await release.wait()
+
+
+def step(number: int = 1) -> Step:
+    begin = build.begin_step(number)
+    return Step(
+        number=begin.number,
+        request=begin.request,
+        fingerprint='',
+        reserved=begin.reserved,
+        started_ms=0,
+    )
+
+
+def place_now(bench: Bench, record: Program) -> str:
+    async def scenario() -> str:
+        async with bench.scheduler.place(
+            bench.service, record, step()
+        ) as place:
+            return place.endpoint.id
+
+    return anyio.run(scenario)
+
+
+def test_program_under_way_goes_before_a_new_one() -> None:
+    async def scenario() -> None:
+        bench = Bench({'engine-1': 'http://127.0.0.1:1'})
+        release = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            for name, number, used in (
+                ('holder', 1, 0),
+                ('new', 1, 0),
+                ('heavy', 2, 900),
+                ('light', 2, 100),
+            ):
+                tasks.start_soon(bench.hold, name, step(number), release, used)
+                await anyio.wait_all_tasks_blocked()
+            release.set()
+        names = [entry.partition('@')[0] for entry in bench.order]
+        assert names == ['holder', 'light', 'heavy', 'new']
+
+    anyio.run(scenario)
+
+
+def test_full_queue_refuses_at_once() -> None:
+    async def scenario() -> None:
+        bench = Bench({'engine-1': 'http://127.0.0.1:1'}, queue_length=1)
+        release = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(bench.hold, 'a', step(), release)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(bench.hold, 'b', step(), release)
+            await anyio.wait_all_tasks_blocked()
+            with pytest.raises(CallError) as caught:
+                await bench.hold('c', step(), release)
+            release.set()
+        assert caught.value.refusal.code is ErrorCode.QUEUE_FULL
+        assert caught.value.refusal.verdict is Verdict.NOT_RUN
+
+    anyio.run(scenario)
+
+
+def test_wait_is_bounded() -> None:
+    async def scenario() -> None:
+        bench = Bench({'engine-1': 'http://127.0.0.1:1'})
+        release = anyio.Event()
+        codes = []
+
+        async def waiter() -> None:
+            try:
+                await bench.hold('b', step(), release)
+            except CallError as exc:
+                codes.append(exc.refusal.code)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(bench.hold, 'a', step(), release)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(waiter)
+            await anyio.wait_all_tasks_blocked()
+            bench.clock.advance(1_000)
+            await anyio.wait_all_tasks_blocked()
+            release.set()
+        assert codes == [ErrorCode.QUEUE_TIMEOUT]
+
+    anyio.run(scenario)
+
+
+def test_leaving_endpoint_gets_nothing_new() -> None:
+    bench = Bench(_ENGINES)
+    bench.leaving.add('engine-1')
+    assert place_now(bench, build.program()) == 'engine-2'
+
+
+def test_failed_endpoint_is_paused_and_comes_back() -> None:
+    bench = Bench(_ENGINES)
+    failed = bench.registry.endpoints['engine-1']
+    error = EndpointError(Failure.CONNECT, Verdict.NOT_RUN, 'down')
+    bench.scheduler.report_failure(failed, error)
+    assert place_now(bench, build.program()) == 'engine-2'
+    bench.clock.advance(500)
+    assert place_now(bench, build.program()) == 'engine-1'
+
+
+def test_waiter_that_is_cancelled_gives_its_place_on() -> None:
+    async def scenario() -> None:
+        bench = Bench({'engine-1': 'http://127.0.0.1:1'})
+        release = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(bench.hold, 'a', step(), release)
+            await anyio.wait_all_tasks_blocked()
+            async with anyio.create_task_group() as doomed:
+                doomed.start_soon(bench.hold, 'b', step(), release)
+                await anyio.wait_all_tasks_blocked()
+                tasks.start_soon(bench.hold, 'c', step(), release)
+                await anyio.wait_all_tasks_blocked()
+                doomed.cancel_scope.cancel()
+            release.set()
+        assert bench.order == ['a@engine-1', 'c@engine-1']
+
+    anyio.run(scenario)
