Read streams to their end, with one timer for each answer

A profile of the instance showed connect_tcp under every call: reading stopped at [DONE], before the end of the response, so that httpcore closed each connection to the engine; and a new timeout was entered for every part.

Change: the rest of the response is read (for 100 ms at most), and one timeout is restarted at each part.

--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,8 @@
 	$(BIN)/lint-imports
 	$(BIN)/mypy
 
+bench: .venv/installed
+	bash scripts/bench.sh
+
 clean:
 	rm -rf .venv
--- /dev/null
+++ b/src/acaciaramp/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against running instances and stand-ins."""
--- a/src/acaciaramp/clock.py
+++ b/src/acaciaramp/clock.py
@@ -2,21 +2,36 @@
 
 from __future__ import annotations
 
-import contextlib
 import heapq
 import itertools
 import time
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol, Self
 
-from anyio import CancelScope, Event, fail_after, lowlevel, sleep
+from anyio import CancelScope, Event, current_time, lowlevel, sleep
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable
 
 MS_PER_SECOND = 1000
 _NS_PER_MS = 1_000_000
 
 
+class Timeout(Protocol):
+    """A context that raises ``TimeoutError`` when it lasts too long."""
+
+    def restart(self, duration_ms: int) -> None:
+        """Allow ``duration_ms`` from now."""
+        ...
+
+    def __enter__(self) -> Self:
+        """Begin."""
+        ...
+
+    def __exit__(self, *exc_info: Any) -> bool | None:
+        """End; raise ``TimeoutError`` if it lasted too long."""
+        ...
+
+
 class Clock(Protocol):
     """Source of time and of timers."""
 
@@ -32,9 +47,7 @@
         """Return after ``duration_ms`` milliseconds."""
         ...
 
-    def timeout(
-        self, duration_ms: int
-    ) -> contextlib.AbstractContextManager[object]:
+    def timeout(self, duration_ms: int) -> Timeout:
         """Return a context that raises ``TimeoutError`` when it lasts longer.
 
         Args:
@@ -58,11 +71,31 @@
         """Return after ``duration_ms`` milliseconds."""
         await sleep(duration_ms / MS_PER_SECOND)
 
-    def timeout(
-        self, duration_ms: int
-    ) -> contextlib.AbstractContextManager[object]:
+    def timeout(self, duration_ms: int) -> Timeout:
         """Return a context that raises ``TimeoutError`` when it lasts longer."""
-        return fail_after(duration_ms / MS_PER_SECOND)
+        return _SystemTimeout(duration_ms)
+
+
+class _SystemTimeout:
+    """A timeout on the event loop's clock."""
+
+    def __init__(self, duration_ms: int) -> None:
+        self._scope = CancelScope()
+        self.restart(duration_ms)
+
+    def restart(self, duration_ms: int) -> None:
+        """Allow ``duration_ms`` from now."""
+        self._scope.deadline = current_time() + duration_ms / MS_PER_SECOND
+
+    def __enter__(self) -> Self:
+        self._scope.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: Any) -> bool:
+        is_swallowed = self._scope.__exit__(*exc_info)
+        if self._scope.cancelled_caught:
+            raise TimeoutError
+        return bool(is_swallowed)
 
 
 class _Timer(NamedTuple):
@@ -94,18 +127,12 @@
             await lowlevel.checkpoint()
             return
         fired = Event()
-        self._schedule(duration_ms, fired.set)
+        self.schedule(duration_ms, fired.set)
         await fired.wait()
 
-    @contextlib.contextmanager
-    def timeout(self, duration_ms: int) -> Iterator[None]:
-        """Raise ``TimeoutError`` if the body outlasts ``duration_ms``."""
-        scope = CancelScope()
-        self._schedule(duration_ms, scope.cancel)
-        with scope:
-            yield
-        if scope.cancelled_caught:
-            raise TimeoutError
+    def timeout(self, duration_ms: int) -> Timeout:
+        """Return a context that raises ``TimeoutError`` when it lasts longer."""
+        return _ManualTimeout(self, duration_ms)
 
     def advance(self, duration_ms: int) -> None:
         """Move the time on and fire the timers that are due."""
@@ -114,6 +141,36 @@
             fire = heapq.heappop(self._timers).fire
             fire()
 
-    def _schedule(self, delay_ms: int, fire: Callable[[], None]) -> None:
+    def schedule(self, delay_ms: int, fire: Callable[[], None]) -> None:
+        """Call ``fire`` once ``advance`` has passed ``delay_ms``."""
         due_ms = self._now_ms + delay_ms
         heapq.heappush(self._timers, _Timer(due_ms, next(self._order), fire))
+
+
+class _ManualTimeout:
+    """A timeout on a manual clock."""
+
+    def __init__(self, clock: ManualClock, duration_ms: int) -> None:
+        self._clock = clock
+        self._scope = CancelScope()
+        self._due_ms = 0
+        self.restart(duration_ms)
+
+    def restart(self, duration_ms: int) -> None:
+        """Allow ``duration_ms`` from now."""
+        self._due_ms = self._clock.now_ms() + duration_ms
+        self._clock.schedule(duration_ms, self._on_due)
+
+    def __enter__(self) -> Self:
+        self._scope.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: Any) -> bool:
+        is_swallowed = self._scope.__exit__(*exc_info)
+        if self._scope.cancelled_caught:
+            raise TimeoutError
+        return bool(is_swallowed)
+
+    def _on_due(self) -> None:
+        if self._clock.now_ms() >= self._due_ms:
+            self._scope.cancel()
--- a/src/acaciaramp/cmd/main.py
+++ b/src/acaciaramp/cmd/main.py
@@ -5,6 +5,7 @@
 import click
 
 import acaciaramp
+from acaciaramp.cmd.bench import bench
 from acaciaramp.cmd.document import document
 from acaciaramp.cmd.fake import fake
 from acaciaramp.cmd.program import explain
@@ -42,3 +43,4 @@
 main.add_command(document)
 main.add_command(explain)
 main.add_command(fake)
+main.add_command(bench)
--- a/src/acaciaramp/endpoints/engine.py
+++ b/src/acaciaramp/endpoints/engine.py
@@ -31,6 +31,7 @@
 _DONE = b'[DONE]'
 _MOST_RESUMES = 3
 _CANCEL_WAIT_MS = 2_000
+_DRAIN_MS = 100
 _OK = 200
 _FIRST_ERROR_STATUS = 400
 _NOT_RUN_STATUSES = frozenset((400, 401, 403, 404, 413, 422, 429, 503))
@@ -185,6 +186,8 @@
         self._metrics = metrics
         self._started_ms: int | None = clock.now_ms()
         self._assembler = Assembler()
+        self._splitter = sse.Splitter()
+        self._inactivity_ms = 0
         self._finish_reason = ''
         self._usage = Usage()
 
@@ -193,15 +196,17 @@
         if answer.status != _OK:
             raise _status_error(answer.status, await answer.body())
         self.name = answer.header(STREAM_HEADER) or self.name
-        splitter = sse.Splitter()
-        async for part in answer.chunks():
-            for event in splitter.feed(part):
-                self._take(event)
-            if self.is_finished:
-                return
-        raise EndpointError(
-            Failure.CUT, Verdict.MAY_HAVE_RUN, 'the stream ended too early'
-        )
+        self._splitter = sse.Splitter()
+        self._inactivity_ms = answer.inactivity_ms
+        try:
+            await answer.feed(self._take_part)
+        except EndpointError:
+            if not self.is_finished:
+                raise
+        if not self.is_finished:
+            raise EndpointError(
+                Failure.CUT, Verdict.MAY_HAVE_RUN, 'the stream ended too early'
+            )
 
     def can_resume(self, error: EndpointError) -> bool:
         """Return whether the engine can be asked for the rest."""
@@ -226,6 +231,12 @@
             cached_tokens=int(details.get('cached_tokens') or 0),
         )
 
+    def _take_part(self, part: bytes) -> int:
+        for event in self._splitter.feed(part):
+            self._take(event)
+        # The rest of a whole answer is read so that its connection is kept.
+        return _DRAIN_MS if self.is_finished else self._inactivity_ms
+
     def _take(self, event: sse.Event) -> None:
         if event.payload == _DONE:
             self.is_finished = bool(self._finish_reason)
--- a/src/acaciaramp/endpoints/http.py
+++ b/src/acaciaramp/endpoints/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import httpcore
@@ -23,6 +24,9 @@
 _SENDING_EVENT = 'http11.send_request_headers.started'
 
 
+Take = Callable[[bytes], int]
+
+
 class HttpRequest:
     """One request to an endpoint.
 
@@ -60,6 +64,7 @@
     Attributes:
         status: HTTP status.
         headers: Headers, with names in lower case.
+        inactivity_ms: Longest silence of the endpoint, milliseconds.
     """
 
     def __init__(
@@ -73,38 +78,38 @@
         ]
         self._resp = resp
         self._clock = clock
-        self._inactivity_ms = inactivity_ms
+        self.inactivity_ms = inactivity_ms
 
     def header(self, name: str) -> str:
         """Return the value of a header, empty if it is missing."""
         return next((text for key, text in self.headers if key == name), '')
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes.
+    async def feed(self, take: Take) -> None:
+        """Hand the body on as it comes, to its end.
+
+        Args:
+            take: Takes each part; returns how long the endpoint may now stay
+                silent, milliseconds.
 
         Raises:
             EndpointError: The body was cut, or the endpoint fell silent.
         """
-        stream = aiter(self._resp.aiter_stream())
-        while True:
-            try:
-                with self._clock.timeout(self._inactivity_ms):
-                    chunk = await anext(stream, None)
-            except TimeoutError:
-                raise EndpointError(
-                    Failure.SILENT,
-                    Verdict.MAY_HAVE_RUN,
-                    'the endpoint fell silent in its answer',
-                ) from None
-            except _NETWORK_ERRORS as exc:
-                raise EndpointError(
-                    Failure.CUT,
-                    Verdict.MAY_HAVE_RUN,
-                    f'the answer was cut: {_name(exc)}',
-                ) from None
-            if chunk is None:
-                return
-            yield chunk
+        try:
+            with self._clock.timeout(self.inactivity_ms) as silence:
+                async for part in self._resp.aiter_stream():
+                    silence.restart(take(part))
+        except TimeoutError:
+            raise EndpointError(
+                Failure.SILENT,
+                Verdict.MAY_HAVE_RUN,
+                'the endpoint fell silent in its answer',
+            ) from None
+        except _NETWORK_ERRORS as exc:
+            raise EndpointError(
+                Failure.CUT,
+                Verdict.MAY_HAVE_RUN,
+                f'the answer was cut: {_name(exc)}',
+            ) from None
 
     async def body(self) -> bytes:
         """Return the whole body.
@@ -113,15 +118,17 @@
             EndpointError: The body was cut, is too long, or the endpoint fell
                 silent.
         """
-        parts = []
-        size = 0
-        async for chunk in self.chunks():
-            size += len(chunk)
-            if size > LONGEST_ANSWER_BYTES:
+        parts: list[bytes] = []
+
+        def take(part: bytes) -> int:
+            parts.append(part)
+            if sum(map(len, parts)) > LONGEST_ANSWER_BYTES:
                 raise EndpointError(
                     Failure.MALFORMED, Verdict.RAN, 'the answer is too long'
                 )
-            parts.append(chunk)
+            return self.inactivity_ms
+
+        await self.feed(take)
         return b''.join(parts)
 
 
--- a/src/acaciaramp/scheduling/scheduler.py
+++ b/src/acaciaramp/scheduling/scheduler.py
@@ -148,14 +148,7 @@
         waiter = _Waiter(record, step, next(self._order))
         queue.append(waiter)
         try:
-            with self._clock.timeout(self._queue_ms):
-                return await self._wait_turn(service, waiter)
-        except TimeoutError:
-            raise CallError(
-                ErrorCode.QUEUE_TIMEOUT,
-                f'no endpoint of "{service.name}" came free in time',
-                retry_after_ms=_LEAST_RETRY_AFTER_MS,
-            ) from None
+            return await self._wait_in_time(service, waiter)
         except BaseException:
             self._give_back(service, waiter)
             raise
@@ -163,9 +156,22 @@
             if waiter in queue:
                 queue.remove(waiter)
 
-    async def _wait_turn(
+    async def _wait_in_time(
         self, service: Service, waiter: _Waiter
     ) -> tuple[Endpoint, Reason]:
+        try:
+            with self._clock.timeout(self._queue_ms):
+                await self._wait_turn(service, waiter)
+        except TimeoutError:
+            if waiter.chosen is None:
+                raise CallError(
+                    ErrorCode.QUEUE_TIMEOUT,
+                    f'no endpoint of "{service.name}" came free in time',
+                    retry_after_ms=_LEAST_RETRY_AFTER_MS,
+                ) from None
+        return waiter.place
+
+    async def _wait_turn(self, service: Service, waiter: _Waiter) -> None:
         while waiter.chosen is None:
             pause_ms = self._shortest_pause_ms(service)
             if pause_ms is None:
@@ -173,7 +179,6 @@
                 continue
             await self._wait_at_most(waiter, pause_ms)
             self.wake(service)
-        return waiter.chosen
 
     async def _wait_at_most(self, waiter: _Waiter, pause_ms: int) -> None:
         with contextlib.suppress(TimeoutError), self._clock.timeout(pause_ms):
@@ -228,6 +233,13 @@
         self.ready = anyio.Event()
         self.chosen: tuple[Endpoint, Reason] | None = None
 
+    @property
+    def place(self) -> tuple[Endpoint, Reason]:
+        """The place that was chosen."""
+        if self.chosen is None:
+            raise LookupError('no place was chosen')
+        return self.chosen
+
 
 def _priority(waiter: _Waiter) -> tuple[bool, int, int]:
     is_new = waiter.step.number == 1
--- a/src/acaciaramp/util/webserver.py
+++ b/src/acaciaramp/util/webserver.py
@@ -56,6 +56,7 @@
         log_config=None,
         access_log=False,
         server_header=False,
+        proxy_headers=False,
         backlog=_BACKLOG,
     )
     server = _QuietServer(config)
