Split the replica by what it does, and mend a deposed leader that went on

The loop now ends with the term in which it began; test_rules has the case by itself. The fake disk let a crashed replica's late sync overwrite its successor's files; each start now has a store of its own.

--- a/features/faults.feature
+++ b/features/faults.feature
@@ -87,5 +87,5 @@
 
   Scenario: A planned stop cuts no request
     Given engines that give a token every 1 ms
-    When instance 1 is told to stop in the middle of a call
+    When a call is under way and instance 1 is told to stop
     Then the answer has the status 200
--- a/features/steps/givens.py
+++ b/features/steps/givens.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import Any
 
 from behave import given, when
@@ -132,3 +133,33 @@
 
 def _path(name: str) -> str:
     return '/v1/chat' if name.startswith('engine') else '/'
+
+
+@given('all cells are at full strength')
+@when('all cells are at full strength')
+@when('the cells are repaired')
+def wait_strength(context: Any) -> None:
+    """Wait until every cell has its leader and its voters."""
+    deployment = world.deployment(context)
+    voters = min(3, len(deployment.apps))
+    world.run(context, functools.partial(deployment.wait_strength, voters))
+
+
+@when('instance {number:d} is killed')
+def kill_instance(context: Any, number: int) -> None:
+    """End an instance at once."""
+    deployment = world.deployment(context)
+    world.run(context, functools.partial(deployment.kill, number))
+
+
+@when('instance {number:d} is started again')
+def restart_instance(context: Any, number: int) -> None:
+    """Start an instance that was killed."""
+    deployment = world.deployment(context)
+    world.run(context, functools.partial(deployment.restart, number))
+
+
+@given('instances that keep their state on disk')
+def plan_disks(context: Any) -> None:
+    """Give every instance a folder of its own."""
+    context.plan.has_disks = True
--- a/features/steps/thens.py
+++ b/features/steps/thens.py
@@ -126,6 +126,14 @@
     assert len(history) == count, history
 
 
+@then('the history has {count:d} steps through instance {instance:d}')
+def history_elsewhere(context: Any, count: int, instance: int) -> None:
+    """Count the steps of the program at another instance."""
+    path = f'/v1/programs/{context.program}?history=1'
+    reply = world.call(context, 'GET', path, instance=instance)
+    assert len(reply.json['history']) == count, reply
+
+
 @then('no engine works for the caller any more')
 def engines_are_idle(context: Any) -> None:
     """Wait until the cancelled sequences are gone."""
--- a/features/steps/whens.py
+++ b/features/steps/whens.py
@@ -11,6 +11,8 @@
 from features.steps import world
 from tests import builders as build
 
+from acaciaramp.fakes.faults import Fault, FaultKind
+
 if TYPE_CHECKING:
     from tests.deployment import Deployment
 
@@ -162,7 +164,29 @@
     world.run(context, functools.partial(_go_away, deployment, headers))
 
 
-@when('instance {number:d} is told to stop in the middle of a call')
+@when('instance {victim:d} is killed while step {number:d} is under way')
+def kill_in_step(context: Any, victim: int, number: int) -> None:
+    """Kill the instance that leads, while the caller waits at another one."""
+    deployment = world.deployment(context)
+    headers = world.step_headers(context, number)
+    work = functools.partial(_kill_in_step, deployment, victim, headers)
+    context.reply = world.run(context, work)
+
+
+@when('instance {victim:d} is killed while step {number:d} reserves "{form}"')
+def kill_in_reservation(
+    context: Any, victim: int, number: int, form: str
+) -> None:
+    """Kill the instance that has sent a call that must not be repeated."""
+    deployment = world.deployment(context)
+    deployment.faults['atelier-1'].add(Fault(kind=FaultKind.SILENT))
+    work = functools.partial(
+        _kill_in_reservation, deployment, victim, context.program, number, form
+    )
+    context.reply = world.run(context, work)
+
+
+@when('a call is under way and instance {number:d} is told to stop')
 def stop_in_call(context: Any, number: int) -> None:
     """Stop an instance while a call is under way."""
     deployment = world.deployment(context)
@@ -170,6 +194,18 @@
     context.reply = world.run(context, work)
 
 
+@when('instance {number:d} is told to stop')
+def stop_instance(context: Any, number: int) -> None:
+    """Stop an instance as planned."""
+    deployment = world.deployment(context)
+
+    async def stop() -> None:
+        deployment.stops[number].set()
+        await deployment.stopped[number].wait()
+
+    world.run(context, stop)
+
+
 def reservation(number: int, form: str) -> dict[str, Any]:
     """Return the body of a tool call that must not be repeated."""
     return {
@@ -228,6 +264,52 @@
         tasks.cancel_scope.cancel()
 
 
+async def _kill_in_step(
+    deployment: Deployment, victim: int, headers: dict[str, str]
+) -> Any:
+    replies = []
+
+    async def work() -> None:
+        body = world.chat_body('[[tokens:40]]')
+        replies.append(
+            await deployment.call(
+                'POST',
+                '/v1/chat/completions',
+                body,
+                instance=2,
+                headers=headers,
+            )
+        )
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(work)
+        await _engine_works(deployment)
+        await deployment.kill(victim)
+    return replies[0]
+
+
+async def _kill_in_reservation(
+    deployment: Deployment, victim: int, program: str, number: int, form: str
+) -> Any:
+    replies = []
+
+    async def work() -> None:
+        replies.append(
+            await deployment.call(
+                'POST',
+                f'/v1/programs/{program}/calls',
+                reservation(number, form),
+                instance=2,
+            )
+        )
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(work)
+        await deployment.faults['atelier-1'].wait_silenced(1)
+        await deployment.kill(victim)
+    return replies[0]
+
+
 async def _engine_works(deployment: Deployment) -> None:
     while not any(
         engine.batch.running for engine in deployment.engines.values()
--- a/src/acaciaramp/application.py
+++ b/src/acaciaramp/application.py
@@ -7,9 +7,12 @@
 
 import anyio
 
-from acaciaramp.assembly import build_dispatcher
-from acaciaramp.cells.host import CellHost
-from acaciaramp.cells.placement import Location
+from acaciaramp.assembly import (
+    HomeParts,
+    build_dispatcher,
+    build_host,
+    locations_of,
+)
 from acaciaramp.cells.router import Router
 from acaciaramp.clock import SystemClock
 from acaciaramp.documents.registry import Registry, load_document
@@ -18,26 +21,24 @@
 from acaciaramp.entry.asgi import make_app
 from acaciaramp.entry.context import EntryContext
 from acaciaramp.entry.protocol import GuardedProtocol
-from acaciaramp.ids import AvailabilityZone, InstanceId
+from acaciaramp.ids import InstanceId
 from acaciaramp.limits.admission import Admission
 from acaciaramp.membership.leaving import LeavingList
 from acaciaramp.metrics.client import Metrics
 from acaciaramp.peering.link import Link
 from acaciaramp.peering.messages import Channel
 from acaciaramp.peering.server import serve_peers
-from acaciaramp.programs.home import Home
 from acaciaramp.programs.releases import Releases
-from acaciaramp.replication.replica import Timing
 from acaciaramp.util.logs import get_logger
 from acaciaramp.util.webserver import open_port, serving
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from acaciaramp.cells.cell import Cell
+    from acaciaramp.cells.host import CellHost
     from acaciaramp.clock import Clock
     from acaciaramp.documents.model import Document
-    from acaciaramp.programs.log import CommandLog
-    from acaciaramp.programs.machine import Programs
     from acaciaramp.settings.model import Listen, Peer, Settings
 
 logger = get_logger('application')
@@ -76,8 +77,14 @@
             self._engine.release, self._engine.sessions, self._registry, clock
         )
         self.leaving = LeavingList(settings.instance_list, self._http, clock)
+        self._cells: CellHost | None = None
         self._is_stopping = False
 
+    @property
+    def cells(self) -> dict[InstanceId, Cell]:
+        """The cells hosted here, by name."""
+        return {} if self._cells is None else self._cells.cells
+
     @classmethod
     def from_settings(cls, settings: Settings) -> Application:
         """Return the instance that the settings describe.
@@ -108,12 +115,30 @@
         links = self._links()
         for link in links.values():
             tasks.start_soon(link.run)
-        host = self._host(links, tasks)
+        locations = locations_of(settings)
+        parts = HomeParts(
+            settings=settings,
+            registry=self._registry,
+            dispatcher=build_dispatcher(
+                settings,
+                self._registry,
+                self._engine,
+                self._http,
+                self.leaving,
+                self._clock,
+                self.metrics,
+            ),
+            releases=self.releases,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+        host = build_host(parts, links, locations, tasks)
+        self._cells = host
         router = Router(
             instance=InstanceId(settings.instance),
             host=host,
             links=links,
-            locations=self._locations(),
+            locations=locations,
             waits=settings.waits,
             clock=self._clock,
         )
@@ -137,69 +162,6 @@
             await self._clock.sleep_ms(_RECONCILE_PERIOD_MS)
             await self.releases.reconcile(host.is_gone)
 
-    def _host(
-        self, links: dict[InstanceId, Link], tasks: TaskGroup
-    ) -> CellHost:
-        settings = self._settings
-        dispatcher = build_dispatcher(
-            settings,
-            self._registry,
-            self._engine,
-            self._http,
-            self.leaving,
-            self._clock,
-            self.metrics,
-        )
-
-        def make_home(
-            state: Programs, log: CommandLog, home_tasks: TaskGroup
-        ) -> Home:
-            return Home(
-                state=state,
-                log=log,
-                registry=self._registry,
-                dispatcher=dispatcher,
-                releases=self.releases,
-                settings=settings,
-                clock=self._clock,
-                metrics=self.metrics,
-                tasks=home_tasks,
-            )
-
-        times = settings.replication
-        return CellHost(
-            instance=InstanceId(settings.instance),
-            links=links,
-            locations=self._locations(),
-            make_home=make_home,
-            data_folder=settings.data_folder,
-            timing=Timing(
-                heartbeat_ms=times.heartbeat_ms,
-                election_ms=times.election_ms,
-                full_wait_ms=times.full_wait_ms,
-                compact_entries=times.compact_entries,
-            ),
-            clock=self._clock,
-            tasks=tasks,
-        )
-
-    def _locations(self) -> list[Location]:
-        settings = self._settings
-        own = Location(
-            InstanceId(settings.instance),
-            AvailabilityZone(settings.availability_zone),
-            settings.region,
-        )
-        others = [
-            Location(
-                InstanceId(peer.instance),
-                AvailabilityZone(peer.availability_zone),
-                peer.region,
-            )
-            for peer in settings.peers
-        ]
-        return [own, *others]
-
     async def _serve_callers(self, router: Router, stop: anyio.Event) -> None:
         settings = self._settings
         sock = open_port(settings.callers.host, settings.callers.port)
--- a/src/acaciaramp/assembly.py
+++ b/src/acaciaramp/assembly.py
@@ -1,24 +1,130 @@
-"""Puts the parts together that send steps to endpoints."""
+"""Puts the parts of an instance together."""
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
+from acaciaramp.cells.host import CellHost
+from acaciaramp.cells.placement import Location
 from acaciaramp.endpoints.plain import PlainClient
 from acaciaramp.endpoints.sending import make_sender
+from acaciaramp.ids import AvailabilityZone, InstanceId
 from acaciaramp.programs.dispatch import Dispatcher
+from acaciaramp.programs.home import Home
+from acaciaramp.replication.timing import Timing
 from acaciaramp.scheduling.scheduler import Scheduler
 
 if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
     from acaciaramp.clock import Clock
     from acaciaramp.documents.registry import Registry
     from acaciaramp.endpoints.engine import EngineClient
     from acaciaramp.endpoints.http import HttpClient
     from acaciaramp.membership.leaving import LeavingList
     from acaciaramp.metrics.client import Metrics
+    from acaciaramp.peering.link import Link
+    from acaciaramp.programs.log import CommandLog
+    from acaciaramp.programs.machine import Programs
+    from acaciaramp.programs.releases import Releases
     from acaciaramp.settings.model import Settings
 
 
+@dataclasses.dataclass(frozen=True)
+class HomeParts:
+    """What every home of programs on one instance is made of.
+
+    Attributes:
+        settings: The instance's settings.
+        registry: The document in force.
+        dispatcher: Sends steps to endpoints.
+        releases: Frees the engine memory of ended programs.
+        clock: Source of time.
+        metrics: Counters and timers.
+    """
+
+    settings: Settings
+    registry: Registry
+    dispatcher: Dispatcher
+    releases: Releases
+    clock: Clock
+    metrics: Metrics
+
+    def make_home(
+        self, state: Programs, log: CommandLog, tasks: TaskGroup
+    ) -> Home:
+        """Return the home of a cell's programs.
+
+        Args:
+            state: The programs.
+            log: Makes every change durable.
+            tasks: Where steps run.
+        """
+        return Home(
+            state=state,
+            log=log,
+            registry=self.registry,
+            dispatcher=self.dispatcher,
+            releases=self.releases,
+            settings=self.settings,
+            clock=self.clock,
+            metrics=self.metrics,
+            tasks=tasks,
+        )
+
+
+def build_host(
+    parts: HomeParts,
+    links: dict[InstanceId, Link],
+    locations: list[Location],
+    tasks: TaskGroup,
+) -> CellHost:
+    """Return the host of an instance's cells.
+
+    Args:
+        parts: What the homes are made of.
+        links: Links to the other instances.
+        locations: Every instance.
+        tasks: Where the cells run.
+    """
+    settings = parts.settings
+    times = settings.replication
+    return CellHost(
+        instance=InstanceId(settings.instance),
+        links=links,
+        locations=locations,
+        make_home=parts.make_home,
+        data_folder=settings.data_folder,
+        timing=Timing(
+            heartbeat_ms=times.heartbeat_ms,
+            election_ms=times.election_ms,
+            full_wait_ms=times.full_wait_ms,
+            compact_entries=times.compact_entries,
+        ),
+        clock=parts.clock,
+        tasks=tasks,
+    )
+
+
+def locations_of(settings: Settings) -> list[Location]:
+    """Return where every instance of the deployment runs."""
+    own = Location(
+        InstanceId(settings.instance),
+        AvailabilityZone(settings.availability_zone),
+        settings.region,
+    )
+    others = [
+        Location(
+            InstanceId(peer.instance),
+            AvailabilityZone(peer.availability_zone),
+            peer.region,
+        )
+        for peer in settings.peers
+    ]
+    return [own, *others]
+
+
 def build_dispatcher(
     settings: Settings,
     registry: Registry,
--- a/src/acaciaramp/cells/cell.py
+++ b/src/acaciaramp/cells/cell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -29,8 +30,9 @@
     from acaciaramp.programs.log import CommandLog
     from acaciaramp.programs.machine import Programs
     from acaciaramp.replication.members import Member
-    from acaciaramp.replication.replica import Send, Timing
+    from acaciaramp.replication.requests import Send
     from acaciaramp.replication.store import Store
+    from acaciaramp.replication.timing import Timing
 
 logger = get_logger('cells')
 
@@ -208,10 +210,8 @@
                 voters=','.join(item.instance for item in change.voters),
                 learners=','.join(item.instance for item in change.learners),
             )
-            try:
+            with contextlib.suppress(NotLeaderError, LeadershipLostError):
                 await self.replica.change_members(change)
-            except (NotLeaderError, LeadershipLostError):
-                continue
 
     async def _next_change(self) -> Members | None:
         replica = self.replica
--- a/src/acaciaramp/cells/host.py
+++ b/src/acaciaramp/cells/host.py
@@ -21,10 +21,8 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import home_of
 from acaciaramp.peering.messages import Channel
-from acaciaramp.replication import messages as msgs
 from acaciaramp.replication.errors import PeerError
 from acaciaramp.replication.members import Member, Members
-from acaciaramp.replication.replica import Timing
 from acaciaramp.replication.store import MemoryStore
 from acaciaramp.storage.store import DiskStore
 from acaciaramp.util.logs import get_logger
@@ -39,7 +37,9 @@
     from acaciaramp.clock import Clock
     from acaciaramp.ids import InstanceId, ProgramId
     from acaciaramp.peering.link import Link
+    from acaciaramp.replication import messages as msgs
     from acaciaramp.replication.store import Store
+    from acaciaramp.replication.timing import Timing
 
 logger = get_logger('cells')
 
@@ -47,7 +47,7 @@
 _ANSWER_MS = 1_000
 _INCARNATION_BYTES = 8
 _HANDOVER_PERIOD_MS = 50
-_HANDOVER_TRIES = 100
+_HANDOVER_TRIES = 20
 
 _encode = msgspec.msgpack.Encoder().encode
 _request_decoder = msgspec.msgpack.Decoder(CellRequest)
--- a/src/acaciaramp/cells/placement.py
+++ b/src/acaciaramp/cells/placement.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import hashlib
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-from acaciaramp.ids import AvailabilityZone, InstanceId
+if TYPE_CHECKING:
+    from acaciaramp.ids import AvailabilityZone, InstanceId
 
 
 class Location(NamedTuple):
@@ -38,7 +39,8 @@
     near = _ranked(cell, [item for item in others if item.zone == home.zone])
     far = _ranked(cell, [item for item in others if item.zone != home.zone])
     far.sort(key=lambda item: item.region != home.region)
-    ordered = [home, *near[:1], *far[:1], *near[1:], *far[1:]]
+    best = [home, *near[:1], *far[:1]]
+    ordered = best + near[1:] + far[1:]
     return [item.instance for item in ordered]
 
 
--- a/src/acaciaramp/cells/router.py
+++ b/src/acaciaramp/cells/router.py
@@ -152,21 +152,28 @@
         cell = self._cell_of(req.program)
         give_up_ms = self._clock.now_ms() + self._waits.home_ms
         verdict = Verdict.NOT_RUN
-        while True:
+        while self._clock.now_ms() <= give_up_ms:
             for instance in self._candidates(cell):
                 try:
-                    reply = await self._ask(instance, cell, req, extra_ms)
+                    return await self._ask(instance, cell, req, extra_ms)
                 except CallError as exc:
-                    if exc.refusal.code not in _ELSEWHERE:
-                        raise
-                    self._note_leader(cell, exc)
-                    verdict = combine(verdict, exc.refusal.verdict)
-                else:
-                    self._leaders[cell] = instance
-                    return reply
-            if self._clock.now_ms() > give_up_ms:
-                raise _unreachable(cell, verdict)
+                    verdict = combine(verdict, self._elsewhere(cell, exc))
             await self._clock.sleep_ms(_RETRY_PERIOD_MS)
+        raise _unreachable(cell, verdict)
+
+    def _elsewhere(self, cell: InstanceId, error: CallError) -> Verdict:
+        """Take note that another instance has to be asked.
+
+        Raises:
+            CallError: The answer was final.
+        """
+        if error.refusal.code not in _ELSEWHERE:
+            raise error
+        self._leaders.pop(cell, None)
+        leader = error.refusal.leader
+        if leader is not None and leader in self._order:
+            self._leaders[cell] = InstanceId(leader)
+        return error.refusal.verdict
 
     async def _ask(
         self,
@@ -176,10 +183,13 @@
         extra_ms: int,
     ) -> api.Reply:
         if instance == self._instance:
-            return await self._answer_here(cell, req)
+            reply = await self._answer_here(cell, req)
+            self._leaders[cell] = instance
+            return reply
         wire = await self._links[instance].request(
             Channel.PROGRAMS, _encode(req), self._waits.peer_ms + extra_ms
         )
+        self._leaders[cell] = instance
         return _reply_decoder.decode(wire)
 
     async def _answer_here(
@@ -197,19 +207,13 @@
         known = self._leaders.get(cell)
         first = [] if known is None else [known]
         rest = [item for item in self._order[cell] if item != known]
-        return [item for item in [*first, *rest] if self._is_reachable(item)]
+        return list(filter(self._is_reachable, [*first, *rest]))
 
     def _is_reachable(self, instance: InstanceId) -> bool:
         if instance == self._instance:
             return True
         return self._links[instance].is_connected
 
-    def _note_leader(self, cell: InstanceId, error: CallError) -> None:
-        self._leaders.pop(cell, None)
-        leader = error.refusal.leader
-        if leader is not None and leader in self._order:
-            self._leaders[cell] = InstanceId(leader)
-
     def _nearest_cell(self) -> InstanceId:
         """Return the own cell if it is led, else one that is."""
         own = self._instance
--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -36,13 +36,14 @@
 _RECONNECT_LONGEST_MS = 1_000
 
 
-_CLOSED = (SocketClosedError, pynng.NNGException)
-
-
 class LinkLostError(AcaciarampError):
     """The link was lost before the reply came."""
 
 
+_BROKEN = (TimeoutError, SocketClosedError, pynng.NNGException)
+_UNANSWERED = (*_BROKEN, LinkLostError)
+
+
 class Link:
     """Requests to one other instance over one connection at a time.
 
@@ -95,7 +96,7 @@
         try:
             with self._clock.timeout(wait_ms):
                 reply = await self._exchange(channel, body, pending)
-        except (TimeoutError, LinkLostError, *_CLOSED):
+        except _UNANSWERED:
             raise CallError(
                 ErrorCode.HOME_UNREACHABLE,
                 f'instance "{self._instance}" does not answer',
@@ -126,7 +127,7 @@
             await self._exchange_heartbeat(sock)
             was_heard = True
             await self._stay_connected(sock)
-        except (TimeoutError, *_CLOSED):
+        except _BROKEN:
             if was_heard:
                 logger.warning('The link was lost.', instance=self._instance)
                 self._metrics.count(Counter.LINK_LOST)
@@ -145,7 +146,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._send_heartbeats, sock)
                 tasks.start_soon(self._receive, sock)
-        except* (TimeoutError, *_CLOSED):
+        except* _BROKEN:
             raise TimeoutError from None
 
     async def _send_heartbeats(self, sock: pynng.Pair1) -> None:
--- a/src/acaciaramp/programs/releases.py
+++ b/src/acaciaramp/programs/releases.py
@@ -89,14 +89,6 @@
             if gone:
                 self._gone.setdefault(endpoint.id, set()).update(gone)
 
-    def _engines(self) -> list[Endpoint]:
-        return [
-            endpoint
-            for service in self._registry.document.services
-            if service.kind is ServiceKind.ENGINE
-            for endpoint in service.endpoints
-        ]
-
     async def flush(self) -> None:
         """Tell every engine what it may forget, once."""
         for name in list(self._gone):
@@ -106,6 +98,14 @@
                 continue
             await self._tell(endpoint)
 
+    def _engines(self) -> list[Endpoint]:
+        return [
+            endpoint
+            for service in self._registry.document.services
+            if service.kind is ServiceKind.ENGINE
+            for endpoint in service.endpoints
+        ]
+
     async def _tell(self, endpoint: Endpoint) -> None:
         programs = sorted(self._gone[endpoint.id])[:_MOST_AT_ONCE]
         try:
--- a/src/acaciaramp/storage/files.py
+++ b/src/acaciaramp/storage/files.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import os
-import pathlib
+from typing import TYPE_CHECKING
 
 from acaciaramp.storage.journal import DamagedError, encode_record, record_at
 
+if TYPE_CHECKING:
+    import pathlib
+
 
 def replace_file(path: pathlib.Path, content: bytes) -> None:
     """Put ``content`` in place of a file, so that a crash leaves one of both.
--- a/src/acaciaramp/storage/journal.py
+++ b/src/acaciaramp/storage/journal.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import os
-import pathlib
 import struct
 import zlib
+from typing import TYPE_CHECKING
 
-import anyio
-from anyio import to_thread
+from anyio import Lock
+from anyio.to_thread import run_sync
 
 from acaciaramp.errors import AcaciarampError
 
+if TYPE_CHECKING:
+    import pathlib
+
 _MAGIC = b'ACRJ'
 _HEADER = struct.Struct('>4sIII')
 
@@ -28,7 +31,7 @@
         self._file = path.open('ab', buffering=0)
         self._written = 0
         self._synced = 0
-        self._lock = anyio.Lock()
+        self._lock = Lock()
 
     def add(self, record: bytes) -> None:
         """Write a record; it lasts once ``sync`` has returned.
@@ -54,7 +57,7 @@
             if self._synced >= wanted:
                 return
             covered = self._written
-            await to_thread.run_sync(os.fsync, self._file.fileno())
+            await run_sync(os.fsync, self._file.fileno())
             self._synced = covered
 
     def sync_now(self) -> None:
--- a/src/acaciaramp/storage/store.py
+++ b/src/acaciaramp/storage/store.py
@@ -110,21 +110,22 @@
         base = snapshot.index if snapshot else 0
         entries: list[Entry] = []
         for record in read_journal(self._journal_path):
-            self._take(_record_decoder.decode(record), base, entries)
+            entries = self._take(_record_decoder.decode(record), base, entries)
         return Stored(self._vote, snapshot, entries)
 
     def _take(
         self, record: AddEntries | SaveVote, base: int, entries: list[Entry]
-    ) -> None:
+    ) -> list[Entry]:
+        """Return the entries after one more record."""
         if isinstance(record, SaveVote):
             self._vote = record.vote
-            return
+            return entries
         first = record.first
         kept = record.entries
         if first <= base:
             kept = kept[base + 1 - first :]
             first = base + 1
-        entries[first - base - 1 :] = kept
+        return [*entries[: first - base - 1], *kept]
 
     def _read_incarnation(self) -> str:
         path = self._folder / 'incarnation'
--- a/src/acaciaramp/util/webserver.py
+++ b/src/acaciaramp/util/webserver.py
@@ -60,9 +60,17 @@
         backlog=_BACKLOG,
     )
     server = _QuietServer(config)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve, [sock])
-        try:
-            yield server
-        finally:
-            server.should_exit = True
+    with contextlib.ExitStack() as stack:
+        stack.callback(_close_ports, server)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve, [sock])
+            try:
+                yield server
+            finally:
+                server.should_exit = True
+
+
+def _close_ports(server: uvicorn.Server) -> None:
+    """Close what a server that was cancelled has left open."""
+    for port in getattr(server, 'servers', ()):
+        port.close()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -5,10 +5,12 @@
 import contextlib
 import dataclasses
 import json
+import tempfile
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import httpcore
+from anyio import lowlevel
 
 from acaciaramp.application import Application
 from acaciaramp.clock import Clock, SystemClock
@@ -19,6 +21,7 @@
 from acaciaramp.fakes.faults import FaultyApp
 from acaciaramp.fakes.instances import FakeInstances
 from acaciaramp.fakes.service import FakeService
+from acaciaramp.ids import InstanceId
 from acaciaramp.util.webserver import open_port, serving
 from tests import builders as build
 
@@ -39,6 +42,7 @@
         pace: How fast the engines work.
         document: Members of the document that differ from the builder's.
         settings: Members of the settings that differ from the builder's.
+        has_disks: Whether instances keep their state on disk.
         clock: The clock of all processes.
     """
 
@@ -47,6 +51,7 @@
     pace: Pace = dataclasses.field(default_factory=Pace)
     document: dict[str, Any] = dataclasses.field(default_factory=dict)
     settings: dict[str, Any] = dataclasses.field(default_factory=dict)
+    has_disks: bool = False
     clock: Clock = dataclasses.field(default_factory=SystemClock)
 
 
@@ -99,6 +104,11 @@
         self.stops: dict[int, anyio.Event] = {}
         self.stopped: dict[int, anyio.Event] = {}
         self.listing = FakeInstances([], 0, plan.clock)
+        self._scopes: dict[int, anyio.CancelScope] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._disks = tempfile.TemporaryDirectory()
+        self._listing = ''
+        self._document = build.document()
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[Deployment]:
@@ -107,17 +117,20 @@
             tasks = await stack.enter_async_context(anyio.create_task_group())
             addresses = await self._start_engines(stack, tasks)
             service = await self._serve(stack, 'atelier-1', self.service.app())
-            listing = await self._serve(stack, 'list', self.listing.app())
+            self._listing = await self._serve(stack, 'list', self.listing.app())
             tree = build.document_tree(addresses, {'atelier-1': service})
-            document = Document.model_validate({**tree, **self.plan.document})
+            tree = {**tree, **self.plan.document}
+            self._document = Document.model_validate(tree)
+            self._tasks = tasks
             for number in range(1, self.plan.instances + 1):
-                await self._start_instance(number, document, listing, tasks)
+                await self._start_instance(number)
             yield self
             for stop in self.stops.values():
                 stop.set()
             for stopped in self.stopped.values():
                 await stopped.wait()
             tasks.cancel_scope.cancel()
+        self._disks.cleanup()
 
     async def call(
         self,
@@ -186,29 +199,31 @@
         )
         return f'http://{self.host}:{sock.getsockname()[1]}'
 
-    async def _start_instance(
-        self,
-        number: int,
-        document: Document,
-        listing: str,
-        tasks: anyio.abc.TaskGroup,
-    ) -> None:
+    async def _start_instance(self, number: int) -> None:
         settings = build.settings(
             instance=f'entry-{number}',
             availability_zone=zone_of(number),
             callers={'host': self.host, 'port': _PORT + number},
             inner={'host': self.host, 'port': _INNER_PORT + number},
             peers=self._peers_of(number),
-            instance_list=f'{listing}/instances',
+            data_folder=self._folder_of(number),
+            replication={'heartbeat_ms': 40, 'election_ms': 250},
+            instance_list=f'{self._listing}/instances',
             **self.plan.settings,
         )
-        app = Application(settings, document, self.plan.clock)
+        app = Application(settings, self._document, self.plan.clock)
         self.apps[number] = app
         self.stops[number] = anyio.Event()
         self.stopped[number] = anyio.Event()
-        tasks.start_soon(self._run_instance, number)
+        assert self._tasks is not None
+        self._tasks.start_soon(self._run_instance, number)
         await app.ready.wait()
 
+    def _folder_of(self, number: int) -> str | None:
+        if not self.plan.has_disks:
+            return None
+        return f'{self._disks.name}/entry-{number}'
+
     def _peers_of(self, number: int) -> list[dict[str, Any]]:
         return [
             {
@@ -221,6 +236,43 @@
             if peer != number
         ]
 
+    async def kill(self, number: int) -> None:
+        """End an instance at once, without a word to anybody."""
+        self._scopes[number].cancel()
+        await self.stopped[number].wait()
+
+    async def restart(self, number: int) -> None:
+        """Start an instance that was ended."""
+        await self._start_instance(number)
+
+    async def wait_strength(self, voters: int) -> None:
+        """Return once every cell has a leader and that many voters."""
+        while not all(self._is_strong(cell, voters) for cell in self._names()):
+            await lowlevel.checkpoint()
+
+    def led_by(self, cell: str) -> int | None:
+        """Return the number of the instance that serves a cell."""
+        for number, app in self.apps.items():
+            hosted = app.cells.get(InstanceId(cell))
+            is_up = not self.stopped[number].is_set()
+            if is_up and hosted is not None and hosted.is_serving:
+                return number
+        return None
+
+    def _names(self) -> list[str]:
+        return [f'entry-{number}' for number in self.apps]
+
+    def _is_strong(self, cell: str, voters: int) -> bool:
+        leader = self.led_by(cell)
+        if leader is None:
+            return False
+        replica = self.apps[leader].cells[InstanceId(cell)].replica
+        return replica.is_at_strength(voters)
+
     async def _run_instance(self, number: int) -> None:
-        await self.apps[number].run(self.stops[number])
-        self.stopped[number].set()
+        self._scopes[number] = anyio.CancelScope()
+        try:
+            with self._scopes[number]:
+                await self.apps[number].run(self.stops[number])
+        finally:
+            self.stopped[number].set()
--- a/tests/replication/fuzz.py
+++ b/tests/replication/fuzz.py
@@ -16,7 +16,6 @@
 
 from acaciaramp.clock import ManualClock
 from acaciaramp.ids import InstanceId
-from acaciaramp.replication import messages as msgs
 from acaciaramp.replication.errors import (
     LeadershipLostError,
     NotLeaderError,
@@ -24,12 +23,16 @@
 )
 from acaciaramp.replication.members import Member, Members
 from acaciaramp.replication.repair import next_change
-from acaciaramp.replication.replica import Replica, Role, Timing
+from acaciaramp.replication.replica import Replica
+from acaciaramp.replication.state import Role
 from acaciaramp.replication.store import Stored, Vote
+from acaciaramp.replication.timing import Timing
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from acaciaramp.replication import messages as msgs
+
 TIMING = Timing(
     heartbeat_ms=20,
     election_ms=100,
@@ -44,26 +47,37 @@
 
 
 class FakeDisk:
-    """A store whose last writes are lost in a crash before their sync."""
+    """What lasts over the crashes of one instance."""
 
     def __init__(self, *, is_lasting: bool) -> None:
         self.is_lasting = is_lasting
         self.clock = ManualClock()
-        self._written = Stored(Vote(), None, [])
-        self._lasting = Stored(Vote(), None, [])
+        self.lasting = Stored(Vote(), None, [])
+        self.newest: FakeStore | None = None
+
+    def open(self) -> FakeStore:
+        """Return a store for the next start; older ones change nothing."""
+        self.newest = FakeStore(self)
+        return self.newest
+
+
+class FakeStore:
+    """A store whose last writes are lost in a crash before their sync."""
+
+    def __init__(self, disk: FakeDisk) -> None:
+        self._disk = disk
+        self._written = _copy(disk.lasting)
 
     def load(self) -> Stored:
-        copy = self._lasting
-        self._written = Stored(copy.vote, copy.snapshot, list(copy.entries))
-        return Stored(copy.vote, copy.snapshot, list(copy.entries))
+        return _copy(self._written)
 
     def save_vote(self, vote: Vote) -> None:
         self._written.vote = vote
 
     def append(self, first: int, entries: list[msgs.Entry]) -> None:
         base = self._written.snapshot.index if self._written.snapshot else 0
-        del self._written.entries[first - base - 1 :]
-        self._written.entries.extend(entries)
+        kept = self._written.entries[: first - base - 1]
+        self._written.entries = [*kept, *entries]
 
     def save_snapshot(
         self, snapshot: msgs.Snapshot, rest: list[msgs.Entry]
@@ -72,11 +86,14 @@
         self._written.entries = list(rest)
 
     async def sync(self) -> None:
-        now = self._written
-        frozen = Stored(now.vote, now.snapshot, list(now.entries))
-        await self.clock.sleep_ms(_SYNC_MS)
-        if self.is_lasting:
-            self._lasting = frozen
+        frozen = _copy(self._written)
+        await self._disk.clock.sleep_ms(_SYNC_MS)
+        if self._disk.is_lasting and self._disk.newest is self:
+            self._disk.lasting = frozen
+
+
+def _copy(stored: Stored) -> Stored:
+    return Stored(stored.vote, stored.snapshot, list(stored.entries))
 
 
 class Recorder:
@@ -232,7 +249,7 @@
         node.replica = Replica(
             me=node.member(),
             first=first,
-            store=node.disk,
+            store=node.disk.open(),
             machine=node.machine,
             send=functools.partial(self.send, node),
             clock=node.clock,
@@ -331,15 +348,8 @@
         if not leaders:
             return False
         leader = max(leaders, key=lambda item: item.term)
-        members = leader.members
-        is_settled = leader.members_committed() and not members.learners
-        return (
-            is_settled
-            and all(
-                leader.progress.match_of(voter) >= leader.commit
-                for voter in members.voters
-            )
-            and len(members.voters) >= 3
+        return leader.is_at_strength(3) and not any(
+            peer.is_lagging for peer in leader.progress.peers.values()
         )
 
     def restart(self) -> None:
--- /dev/null
+++ b/tests/replication/test_rules.py
@@ -0,0 +1,264 @@
+"""Single rules of the replicated log that schedules meet too rarely."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import msgspec
+import pytest
+
+from acaciaramp.clock import ManualClock
+from acaciaramp.ids import InstanceId
+from acaciaramp.replication import messages as msgs
+from acaciaramp.replication.errors import NotLeaderError, PeerError
+from acaciaramp.replication.following import Following
+from acaciaramp.replication.members import Member, Members
+from acaciaramp.replication.progress import Peer, Progress
+from acaciaramp.replication.repair import next_change
+from acaciaramp.replication.replica import Replica
+from acaciaramp.replication.state import ReplicaState, Role
+from acaciaramp.replication.store import MemoryStore
+from acaciaramp.replication.timing import Timing
+from tests.replication.fuzz import Recorder
+
+A, B, C, D = (Member(InstanceId(name), '0') for name in 'abcd')
+ALL = Members((A, B, C))
+
+
+def progress_of(**matches: int) -> Progress:
+    progress = Progress(A)
+    progress.own_index = matches.pop('a', 0)
+    for name, match in matches.items():
+        peer = Peer(1, 0)
+        peer.match_index = match
+        peer.replica = Member(InstanceId(name), '0')
+        progress.peers[InstanceId(name)] = peer
+    return progress
+
+
+def new_state(me: Member = A) -> ReplicaState:
+    return ReplicaState(
+        me, ALL, MemoryStore(), Recorder(), ManualClock(), Timing()
+    )
+
+
+def entry(term: int, payload: bytes = b'x') -> msgs.Entry:
+    return msgs.Entry(term, msgs.EntryKind.COMMAND, payload)
+
+
+def append(
+    term: int, *entries: msgs.Entry, previous: int = 0
+) -> msgs.AppendRequest:
+    return msgs.AppendRequest(
+        term=term,
+        leader=B.instance,
+        previous_index=previous,
+        previous_term=0,
+        entries=list(entries),
+        commit=0,
+    )
+
+
+def test_acknowledgement_of_a_forgetful_voter_does_not_count() -> None:
+    progress = progress_of(a=5, b=5, c=0)
+    assert progress.majority_index(ALL) == 5
+    progress.peers[B.instance].replica = Member(B.instance, 'after restart')
+    assert progress.majority_index(ALL) == 0
+
+
+def test_entries_of_older_terms_are_not_committed_by_count() -> None:
+    async def scenario() -> int:
+        async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+            if isinstance(req, msgs.VoteRequest):
+                term = req.term - req.is_pre_vote
+                return msgs.VoteReply(term, Member(target, '0'), True)
+            if isinstance(req, msgs.AppendRequest) and req.previous_index == 1:
+                raise PeerError('the new entry is lost')
+            assert isinstance(req, msgs.AppendRequest)
+            return msgs.AppendReply(
+                req.term, Member(target, '0'), not req.previous_index, 1
+            )
+
+        clock = ManualClock()
+        replica = Replica(
+            me=A,
+            first=ALL,
+            store=MemoryStore(),
+            machine=Recorder(),
+            send=send,
+            clock=clock,
+            rng=random.Random(1),
+            timing=Timing(),
+        )
+        await replica.handle(append(1, entry(1)))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(replica.run)
+            await anyio.wait_all_tasks_blocked()
+            clock.advance(2_500)
+            await anyio.wait_all_tasks_blocked()
+            assert replica.role is Role.LEADER
+            commit = replica.commit
+            tasks.cancel_scope.cancel()
+        return commit
+
+    assert anyio.run(scenario) == 0
+
+
+def test_no_acknowledgement_once_a_newer_term_has_begun() -> None:
+    class SlowStore(MemoryStore):
+        def __init__(self) -> None:
+            self.go_on = anyio.Event()
+
+        async def sync(self) -> None:
+            await self.go_on.wait()
+
+    async def scenario() -> msgs.AppendReply:
+        store = SlowStore()
+        state = ReplicaState(A, ALL, store, Recorder(), ManualClock(), Timing())
+        following = Following(state)
+        replies = []
+
+        async def take() -> None:
+            replies.append(await following.on_append(append(1, entry(1))))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(take)
+            await anyio.wait_all_tasks_blocked()
+            state.step_down(2)
+            store.go_on.set()
+        return replies[0]
+
+    assert not anyio.run(scenario).is_matching
+
+
+def test_damaged_or_cut_snapshot_is_not_installed() -> None:
+    whole = msgspec.msgpack.encode(msgs.Snapshot(5, 1, ALL, b'1,2'))
+
+    def part(offset: int, payload: bytes, checksum: int) -> msgs.SnapshotPart:
+        return msgs.SnapshotPart(
+            term=1,
+            leader=B.instance,
+            index=5,
+            checksum=checksum,
+            offset=offset,
+            size=len(whole),
+            part=payload,
+        )
+
+    async def scenario() -> ReplicaState:
+        state = new_state()
+        following = Following(state)
+        await following.on_snapshot(part(0, whole, 123))
+        assert state.commit == 0
+        half = len(whole) // 2
+        await following.on_snapshot(part(0, whole[:half], 0))
+        reply = await following.on_snapshot(part(half + 1, whole[half:], 0))
+        assert not reply.is_matching
+        assert state.commit == 0
+        return state
+
+    assert anyio.run(scenario).log.last_index == 0
+
+
+def test_only_a_leader_takes_proposals() -> None:
+    async def scenario() -> None:
+        replica = Replica(
+            me=A,
+            first=ALL,
+            store=MemoryStore(),
+            machine=Recorder(),
+            send=_unreachable,
+            clock=ManualClock(),
+            rng=random.Random(1),
+            timing=Timing(),
+        )
+        with pytest.raises(NotLeaderError):
+            await replica.propose(b'x')
+
+    anyio.run(scenario)
+
+
+async def _unreachable(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+    raise PeerError('unreachable')
+
+
+def change(
+    members: Members, progress: Progress, *spares: Member, dead_ms: int = 0
+) -> Members | None:
+    return next_change(
+        members,
+        progress,
+        me=A,
+        commit=5,
+        dead_since_ms=dead_ms,
+        spares=spares,
+    )
+
+
+def test_whole_group_is_left_alone() -> None:
+    assert change(ALL, progress_of(a=5, b=5, c=5), D) is None
+
+
+def test_failed_voter_is_out_before_a_new_one_is_in() -> None:
+    progress = progress_of(a=5, b=5, c=5)
+    progress.peers[B.instance].heard_ms = 100
+    progress.peers[C.instance].heard_ms = 10
+    without = change(ALL, progress, D, dead_ms=50)
+    assert without == Members((A, B))
+    progress.peers.pop(C.instance)
+    assert change(Members((A, B)), progress, D) == Members((A, B), (D,))
+
+
+def test_failed_voter_stays_while_there_is_no_other() -> None:
+    assert change(ALL, progress_of(a=5, b=5, c=5), dead_ms=50) is None
+
+
+def test_forgetful_voter_is_taken_out() -> None:
+    progress = progress_of(a=5, b=5, c=5)
+    progress.peers[B.instance].replica = Member(B.instance, '1')
+    assert change(ALL, progress) == Members((A, C))
+
+
+def test_learner_votes_only_once_it_has_caught_up() -> None:
+    members = Members((A, B), (C,))
+    assert change(members, progress_of(a=5, b=5, c=4)) is None
+    assert change(members, progress_of(a=5, b=5, c=5)) == ALL
+
+
+def test_deposed_leader_sends_nothing_in_the_new_term() -> None:
+    async def scenario() -> set[int]:
+        terms = set()
+
+        async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+            if isinstance(req, msgs.VoteRequest):
+                term = req.term - req.is_pre_vote
+                return msgs.VoteReply(term, Member(target, '0'), True)
+            assert isinstance(req, msgs.AppendRequest)
+            terms.add(req.term)
+            if target == C.instance:
+                return msgs.AppendReply(7, C, False, 0)
+            match = req.previous_index + len(req.entries)
+            return msgs.AppendReply(req.term, B, True, match)
+
+        clock = ManualClock()
+        replica = Replica(
+            me=A,
+            first=ALL,
+            store=MemoryStore(),
+            machine=Recorder(),
+            send=send,
+            clock=clock,
+            rng=random.Random(1),
+            timing=Timing(),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(replica.run)
+            await anyio.wait_all_tasks_blocked()
+            clock.advance(2_500)
+            await anyio.wait_all_tasks_blocked()
+            assert replica.term == 7
+            tasks.cancel_scope.cancel()
+        return terms
+
+    assert anyio.run(scenario) == {1}
