Measure the slopes that the size to design for is worked out from

acaciaramp bench capacity fits lines through three points or more for memory of programs, turns, history, endpoints and workspaces, for time and bytes of turns and of idle groups, and writes them to docs/capacity.json.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: demo test check bench clean
+.PHONY: demo test check bench capacity clean
 
 # Installed once; again whenever the pinned dependencies change.
 .venv/installed: pyproject.toml
@@ -25,5 +25,8 @@
 bench: .venv/installed
 	bash scripts/bench.sh
 
+capacity: .venv/installed
+	$(BIN)/acaciaramp bench capacity --out docs/capacity.json
+
 clean:
 	rm -rf .venv
--- a/src/acaciaramp/cmd/bench.py
+++ b/src/acaciaramp/cmd/bench.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import functools
+import pathlib
 
 import anyio
 import click
 import msgspec
 
 from acaciaramp.bench.entry import Target, measure_entry
+from acaciaramp.bench.log_cost import measure_logs
+from acaciaramp.bench.state_size import measure_state
 
 
 @click.group()
@@ -37,3 +40,22 @@
     )
     result = anyio.run(measure, backend_options={'use_uvloop': True})
     click.echo(msgspec.json.format(msgspec.json.encode(result), indent=2))
+
+
+@bench.command()
+@click.option(
+    '--out',
+    type=click.Path(dir_okay=False, writable=True),
+    required=True,
+    help='File for the results (JSON).',
+)
+def capacity(out: str) -> None:
+    """Measure how state, time and bytes grow; fits a line to each."""
+    slopes = [*measure_state(), *measure_logs()]
+    encoded = msgspec.json.format(msgspec.json.encode(slopes), indent=2)
+    pathlib.Path(out).write_bytes(b'%s\n' % encoded)
+    for slope in slopes:
+        click.echo(
+            f'{slope.name}: {slope.slope:.6g} {slope.unit} each, '
+            f'{slope.intercept:.4g} besides, error {slope.error:.1%}'
+        )
