--- a/scripts/demo_programs.py
+++ b/scripts/demo_programs.py
@@ -21,6 +21,7 @@
 READY_WITHIN_S = 20
 TOOL_PAUSE_S = 0.3
 HTTP_OK = 200
+READ = 'GET'
 HTTP_REDIRECT = 300
 HTTP_NOT_FOUND = 404
 
@@ -137,7 +138,7 @@
 def withdraw_key() -> None:
     """A key that an operator withdraws stops working at every instance."""
     url = f'{OPERATORS}/v1/environment'
-    document = request('GET', url, '', key=OPERATOR_KEY)[1]
+    document = request(READ, url, '', key=OPERATOR_KEY)[1]
     document['revision'] += 1
     document['workspaces'][1]['keys'] = []
     status, answer = request('PUT', url, '', document, key=OPERATOR_KEY)
@@ -152,7 +153,7 @@
 def is_refused(entry: str) -> bool:
     """Return whether an instance refuses the other workspace's key."""
     path = '/v1/programs/p.entry-1.x'
-    return request('GET', entry, path, key=OTHER_KEY)[0] == HTTP_UNAUTHORIZED
+    return request(READ, entry, path, key=OTHER_KEY)[0] == HTTP_UNAUTHORIZED
 
 
 def chat(entry: str, program: str, step: int, text: str) -> str:
