Lend and borrow shares of rate and burst between instances

Cause: fixed shares refuse requests of a workspace that is within its rate when load is uneven, and starve instances when the burst is smaller than their number. Shares are now lent for 2 s; the lender stops first, the borrower counts from when it asked. 60 seeded schedules with lost and late replies keep the sum of shares and every window of admissions within rate times window plus burst.

Ruled out by the scenario of a burst of 7 at two instances: lending half of what is left between two busy instances (6 of 7 admitted, fractions of a token went back and forth). Now nothing is lent while requests wait, save that one of two gives its fraction away: 7 of 7, and whole bursts of 1, 5, 7 and 20 at three instances.

Not mended: a restarted instance begins with its full share of tokens.

--- a/src/acaciaramp/application.py
+++ b/src/acaciaramp/application.py
@@ -18,7 +18,8 @@
 from acaciaramp.clock import SystemClock
 from acaciaramp.control.group import ControlGroup
 from acaciaramp.control.operators import make_operator_app
-from acaciaramp.control.wire import answer_wire, exchange_over
+from acaciaramp.control.wire import answer_wire as answer_control
+from acaciaramp.control.wire import exchange_over
 from acaciaramp.documents.registry import Registry, load_document
 from acaciaramp.endpoints.engine import EngineClient
 from acaciaramp.endpoints.http import HttpClient
@@ -27,6 +28,8 @@
 from acaciaramp.entry.protocol import GuardedProtocol
 from acaciaramp.ids import InstanceId
 from acaciaramp.limits.admission import Admission
+from acaciaramp.limits.wire import answer_wire as answer_loan
+from acaciaramp.limits.wire import lender_over
 from acaciaramp.membership.leaving import LeavingList
 from acaciaramp.metrics.client import Metrics
 from acaciaramp.peering.link import Link
@@ -132,16 +135,44 @@
         )
 
     async def _serve(self, tasks: TaskGroup, stop: anyio.Event) -> None:
-        settings = self._settings
         links = self._links()
         for link in links.values():
             tasks.start_soon(link.run)
-        locations = locations_of(settings)
+        host = self._build_host(links, tasks)
+        control = self._control_group(host, links)
+        router = self._router(host, links)
+        admission = self._admission(links)
+        self._cells = host
+        self._control = control
+        handlers = {
+            Channel.PROGRAMS: router.answer_wire,
+            Channel.CELLS: host.answer_wire,
+            Channel.CONTROL: functools.partial(answer_control, control),
+            Channel.LIMITS: functools.partial(answer_loan, admission),
+        }
+        inner_url = _inner_url(self._settings.inner)
+        await tasks.start(serve_peers, inner_url, handlers, self.metrics)
+        tasks.start_soon(self.leaving.run)
+        tasks.start_soon(self.releases.run)
+        tasks.start_soon(self._reconcile, host)
+        tasks.start_soon(host.run)
+        tasks.start_soon(control.run)
+        await self._serve_operators(control, tasks)
+        await self._wait_document(control, stop)
+        ctx = self._context(router, control, admission)
+        await self._serve_callers(ctx, stop)
+        await host.drain(self._settings.waits.drain_ms)
+        await control.hand_over()
+        await host.hand_over()
+
+    def _build_host(
+        self, links: dict[InstanceId, Link], tasks: TaskGroup
+    ) -> CellHost:
         parts = HomeParts(
-            settings=settings,
+            settings=self._settings,
             registry=self._registry,
             dispatcher=build_dispatcher(
-                settings,
+                self._settings,
                 self._engine,
                 self._http,
                 self.leaving,
@@ -152,37 +183,27 @@
             clock=self._clock,
             metrics=self.metrics,
         )
-        host = build_host(parts, links, locations, tasks)
-        self._cells = host
-        router = Router(
-            instance=InstanceId(settings.instance),
+        return build_host(parts, links, locations_of(self._settings), tasks)
+
+    def _router(self, host: CellHost, links: dict[InstanceId, Link]) -> Router:
+        return Router(
+            instance=InstanceId(self._settings.instance),
             host=host,
             links=links,
-            locations=locations,
-            waits=settings.waits,
+            locations=locations_of(self._settings),
+            waits=self._settings.waits,
             clock=self._clock,
         )
-        control = self._control_group(host, links)
-        self._control = control
-        handlers = {
-            Channel.PROGRAMS: router.answer_wire,
-            Channel.CELLS: host.answer_wire,
-            Channel.CONTROL: functools.partial(answer_wire, control),
-        }
-        await tasks.start(
-            serve_peers, _inner_url(settings.inner), handlers, self.metrics
+
+    def _admission(self, links: dict[InstanceId, Link]) -> Admission:
+        return Admission(
+            instance=InstanceId(self._settings.instance),
+            registry=self._registry,
+            instances=len(links) + 1,
+            wait_ms=self._settings.waits.rate_ms,
+            clock=self._clock,
+            lenders=list(map(lender_over, links.values())),
         )
-        tasks.start_soon(self.leaving.run)
-        tasks.start_soon(self.releases.run)
-        tasks.start_soon(host.run)
-        tasks.start_soon(self._reconcile, host)
-        tasks.start_soon(control.run)
-        await self._serve_operators(control, tasks)
-        await self._wait_document(control, stop)
-        await self._serve_callers(router, control, stop)
-        await host.drain(settings.waits.drain_ms)
-        await control.hand_over()
-        await host.hand_over()
 
     def _control_group(
         self, host: CellHost, links: dict[InstanceId, Link]
@@ -229,11 +250,11 @@
             await self.releases.reconcile(host.is_gone)
 
     async def _serve_callers(
-        self, router: Router, control: ControlGroup, stop: anyio.Event
+        self, ctx: EntryContext, stop: anyio.Event
     ) -> None:
         settings = self._settings
         sock = open_port(settings.callers.host, settings.callers.port)
-        app = make_app(self._context(router, control))
+        app = make_app(ctx)
         protocol = functools.partial(GuardedProtocol, settings.limits)
         async with serving(app, sock, protocol):
             self.ready.set()
@@ -250,20 +271,14 @@
             for peer in self._settings.peers
         }
 
-    def _context(self, router: Router, control: ControlGroup) -> EntryContext:
+    def _context(
+        self, router: Router, control: ControlGroup, admission: Admission
+    ) -> EntryContext:
         settings = self._settings
-        names = sorted(
-            [settings.instance, *(peer.instance for peer in settings.peers)]
-        )
         return EntryContext(
             settings=settings,
             registry=self._registry,
-            admission=Admission(
-                position=names.index(settings.instance),
-                instances=len(names),
-                wait_ms=settings.waits.rate_ms,
-                clock=self._clock,
-            ),
+            admission=admission,
             router=router,
             clock=self._clock,
             metrics=self.metrics,
--- a/src/acaciaramp/limits/admission.py
+++ b/src/acaciaramp/limits/admission.py
@@ -2,42 +2,64 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+import anyio
+
 from acaciaramp.errors import CallError, ErrorCode
-from acaciaramp.limits.bucket import TokenBucket
+from acaciaramp.ids import WorkspaceId
+from acaciaramp.limits.messages import BorrowReply, BorrowRequest
+from acaciaramp.limits.share import Loan, Share
 
 if TYPE_CHECKING:
     from acaciaramp.clock import Clock
     from acaciaramp.documents.model import Workspace
+    from acaciaramp.documents.registry import Registry
+    from acaciaramp.ids import InstanceId
+
+LOAN_MS = 2_000
+_ASK_AGAIN_MS = 100
+_LONGEST_LOAN_MS = 60_000
 
-_ASK_AGAIN_MS = 1_000
+Lender = Callable[[BorrowRequest], Awaitable[BorrowReply]]
 
 
 class Admission:
-    """This instance's share of every workspace's rate and burst.
+    """This instance's shares of all workspaces.
 
-    The shares of all instances add up to the workspace's rate and burst, so
-    that no exchange between instances is needed to keep them.
+    The shares of all instances add up to the whole. An instance that runs out
+    borrows from the others what they do not need.
     """
 
     def __init__(
-        self, *, position: int, instances: int, wait_ms: int, clock: Clock
+        self,
+        *,
+        instance: InstanceId,
+        registry: Registry,
+        instances: int,
+        wait_ms: int,
+        clock: Clock,
+        lenders: list[Lender],
     ) -> None:
-        """Create the admission with full shares.
+        """Create the admission with equal shares.
 
         Args:
-            position: This instance's place among all, from 0.
+            instance: This instance.
+            registry: The document in force.
             instances: Number of instances.
             wait_ms: Longest wait for a token, milliseconds.
             clock: Source of time.
+            lenders: Ask the other instances; they raise ``CallError``.
         """
-        self._position = position
-        self._instances = instances
+        self._instance = instance
+        self._registry = registry
+        self._base = 1 / instances
         self._wait_ms = wait_ms
         self._clock = clock
-        self._buckets: dict[str, TokenBucket] = {}
-        self._waiting: dict[str, int] = {}
+        self._lenders = lenders
+        self._shares: dict[str, Share] = {}
+        self._asked_ms: dict[str, int] = {}
 
     async def admit(self, workspace: Workspace) -> None:
         """Return once the workspace may send one more request.
@@ -45,49 +67,78 @@
         Raises:
             CallError: No token comes in time.
         """
-        bucket = self._bucket(workspace)
-        if not self._waiting.get(workspace.name) and bucket.try_take():
+        share = self._share(workspace)
+        if share.try_admit():
             return
-        self._waiting[workspace.name] = self._waiting.get(workspace.name, 0) + 1
+        share.waiting += 1
         try:
-            await self._wait_token(workspace, bucket)
+            await self._wait_token(workspace, share)
         finally:
-            self._waiting[workspace.name] -= 1
-
-    async def _wait_token(
-        self, workspace: Workspace, bucket: TokenBucket
-    ) -> None:
+            share.waiting -= 1
+
+    async def lend(self, req: BorrowRequest) -> BorrowReply:
+        """Lend another instance what is not needed here."""
+        workspace = self._registry.workspaces.get(req.workspace)
+        if workspace is None or not 0 < req.duration_ms <= _LONGEST_LOAN_MS:
+            return BorrowReply(0, 0)
+        loan = self._share(workspace).lend(
+            req.duration_ms, gives_way=req.borrower < self._instance
+        )
+        return BorrowReply(*loan)
+
+    async def _wait_token(self, workspace: Workspace, share: Share) -> None:
         give_up_ms = self._clock.now_ms() + self._wait_ms
-        while not bucket.try_take():
-            pause_ms = bucket.wait_ms()
-            now_ms = self._clock.now_ms()
-            if pause_ms is None or now_ms + pause_ms > give_up_ms:
+        await self._borrow(workspace, share)
+        while not share.try_admit():
+            pause_ms = self._pause_ms(share)
+            if self._clock.now_ms() + pause_ms > give_up_ms:
                 raise CallError(
                     ErrorCode.RATE_LIMITED,
                     f'workspace "{workspace.name}" is over its rate',
-                    retry_after_ms=_ASK_AGAIN_MS
-                    if pause_ms is None
-                    else pause_ms,
+                    retry_after_ms=pause_ms,
                 )
-            await self._clock.sleep_ms(max(1, pause_ms))
-
-    def _bucket(self, workspace: Workspace) -> TokenBucket:
-        burst = share_of_burst(workspace.burst, self._position, self._instances)
-        rate = workspace.rate * burst / workspace.burst
-        bucket = self._buckets.get(workspace.name)
-        if bucket is None:
-            bucket = TokenBucket(rate, burst, self._clock)
-            self._buckets[workspace.name] = bucket
-        bucket.change(rate, burst)
-        return bucket
-
-
-def share_of_burst(burst: int, position: int, instances: int) -> int:
-    """Return the whole tokens of a burst that belong to one instance.
-
-    Args:
-        burst: The workspace's burst.
-        position: The instance's place among all, from 0.
-        instances: Number of instances.
-    """
-    return burst // instances + (position < burst % instances)
+            await self._clock.sleep_ms(pause_ms)
+            await self._borrow(workspace, share)
+
+    def _pause_ms(self, share: Share) -> int:
+        """Return when a token may come: by itself, or by another loan."""
+        wait_ms = share.wait_ms()
+        if not self._lenders:
+            return self._wait_ms + 1 if wait_ms is None else max(1, wait_ms)
+        return (
+            _ASK_AGAIN_MS
+            if wait_ms is None
+            else min(max(1, wait_ms), _ASK_AGAIN_MS)
+        )
+
+    async def _borrow(self, workspace: Workspace, share: Share) -> None:
+        """Ask every other instance at once, at most ten times a second."""
+        now_ms = self._clock.now_ms()
+        last_ms = self._asked_ms.get(workspace.name)
+        if last_ms is not None and now_ms - last_ms < _ASK_AGAIN_MS:
+            return
+        self._asked_ms[workspace.name] = now_ms
+        req = BorrowRequest(
+            WorkspaceId(workspace.name), self._instance, LOAN_MS
+        )
+        async with anyio.create_task_group() as tasks:
+            for lender in self._lenders:
+                tasks.start_soon(self._borrow_from, lender, req, share, now_ms)
+
+    async def _borrow_from(
+        self, lender: Lender, req: BorrowRequest, share: Share, asked_ms: int
+    ) -> None:
+        try:
+            reply = await lender(req)
+        except CallError:
+            return
+        loan = Loan(reply.share, reply.tokens)
+        share.borrow(loan, asked_ms, req.duration_ms)
+
+    def _share(self, workspace: Workspace) -> Share:
+        share = self._shares.get(workspace.name)
+        if share is None:
+            share = Share(workspace, self._base, self._clock)
+            self._shares[workspace.name] = share
+        share.change(workspace)
+        return share
--- a/src/acaciaramp/limits/bucket.py
+++ b/src/acaciaramp/limits/bucket.py
@@ -11,10 +11,14 @@
     from acaciaramp.clock import Clock
 
 
+# Shares of a burst are fractions; their sums may miss a whole token by this.
+_ROUNDING = 1e-9
+
+
 class TokenBucket:
     """Admits at most ``rate`` requests a second and ``burst`` at once."""
 
-    def __init__(self, rate: float, burst: int, clock: Clock) -> None:
+    def __init__(self, rate: float, burst: float, clock: Clock) -> None:
         """Create the full bucket.
 
         Args:
@@ -28,27 +32,43 @@
         self._tokens = float(burst)
         self._filled_ms = clock.now_ms()
 
-    def change(self, rate: float, burst: int) -> None:
+    def change(self, rate: float, burst: float) -> None:
         """Change rate and burst; no token is given for it."""
         if (rate, burst) == (self._rate, self._burst):
             return
         self._fill()
         self._rate = rate
         self._burst = burst
-        self._tokens = min(self._tokens, float(burst))
+        self._tokens = min(self._tokens, burst)
+
+    def take_fraction(self, fraction: float) -> float:
+        """Take a part of the tokens; return how many were taken."""
+        self._fill()
+        taken = self._tokens * fraction
+        self._tokens -= taken
+        return taken
+
+    def add(self, tokens: float) -> None:
+        """Add tokens, up to the burst."""
+        self._fill()
+        self._tokens = min(self._burst, self._tokens + tokens)
+
+    def has_token(self) -> bool:
+        """Return whether there is a whole token."""
+        self._fill()
+        return self._tokens >= 1 - _ROUNDING
 
     def try_take(self) -> bool:
         """Take one token if there is one."""
-        self._fill()
-        if self._tokens < 1:
+        if not self.has_token():
             return False
-        self._tokens -= 1
+        self._tokens = max(0, self._tokens - 1)
         return True
 
     def wait_ms(self) -> int | None:
         """Return when the next token comes, None if none ever does."""
         self._fill()
-        if self._burst < 1 or self._rate <= 0:
+        if self._burst < 1 - _ROUNDING or self._rate <= 0:
             return None
         missing = max(0, 1 - self._tokens)
         return math.ceil(missing / self._rate * MS_PER_SECOND)
--- a/src/acaciaramp/peering/messages.py
+++ b/src/acaciaramp/peering/messages.py
@@ -18,6 +18,7 @@
     PROGRAMS = 1
     CELLS = 2
     CONTROL = 3
+    LIMITS = 4
 
 
 class FrameError(AcaciarampError):
