--- a/src/acaciaramp/control/changes.py
+++ b/src/acaciaramp/control/changes.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from acaciaramp.replication.repair import STRENGTH
+from acaciaramp.replication.repair import STRENGTH, first_forgotten
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -36,10 +36,9 @@
         dead_since_ms: A replica not heard since then has failed.
         outside: Replicas that answer and take no part.
     """
-    for member in (*members.voters, *members.learners):
-        peer = progress.peers.get(member.instance)
-        if peer is not None and peer.replica not in {None, member}:
-            return members.without(member.instance)
+    forgotten = first_forgotten(members, progress)
+    if forgotten is not None:
+        return members.without(forgotten)
     ready = [
         learner
         for learner in members.learners
--- a/src/acaciaramp/programs/home.py
+++ b/src/acaciaramp/programs/home.py
@@ -23,13 +23,13 @@
 from acaciaramp.programs.log import CommitError
 from acaciaramp.programs.reserve import worst_case
 from acaciaramp.programs.runs import Run
+from acaciaramp.programs.views import check_same, page_of, view_of
 from acaciaramp.records import (
     Answer,
     EndReason,
     Program,
     ProgramState,
     Step,
-    StepState,
 )
 from acaciaramp.util.logs import get_logger
 
@@ -50,6 +50,11 @@
 logger = get_logger('programs')
 
 
+_MOVED = CallError(
+    ErrorCode.NOT_LEADER, 'another instance owns the program now'
+).refusal
+
+
 class Home:
     """Owns programs and runs their steps."""
 
@@ -104,8 +109,8 @@
         """
         existing = self._state.by_id.get(req.program)
         if existing is not None:
-            _check_same(existing, req)
-            return _view(existing, steps=False)
+            check_same(existing, req)
+            return view_of(existing, steps=False)
         if len(self._state.by_id) >= self._settings.programs:
             raise CallError(
                 ErrorCode.PROGRAM_LIMIT,
@@ -117,7 +122,7 @@
         record = new_record(req, self._registry, self._clock.wall_ms())
         await self._log.commit(CreateProgram(record))
         self._metrics.count(Counter.PROGRAM_CREATED)
-        return _view(record, steps=False)
+        return view_of(record, steps=False)
 
     async def submit(self, req: api.Submit) -> api.Done:
         """Begin a step, or join the same step if it began before.
@@ -159,7 +164,7 @@
         self._owned(req.program, req.workspace)
         run = self._runs.get((req.program, req.number))
         if run is None:
-            return _page(self._state.step(req.program, req.number))
+            return page_of(self._state.step(req.program, req.number))
         try:
             with self._clock.timeout(req.wait_ms):
                 await run.wait_news(req)
@@ -176,7 +181,7 @@
         Raises:
             CallError: There is no such program.
         """
-        return _view(self._owned(req.program, req.workspace), steps=req.steps)
+        return view_of(self._owned(req.program, req.workspace), steps=req.steps)
 
     async def end(self, req: api.End) -> api.Done:
         """End a program and cancel its step under way.
@@ -386,47 +391,3 @@
         )
         self._metrics.count(Counter.FAILED, refusal.code)
         run.fail(refusal)
-
-
-_MOVED = CallError(
-    ErrorCode.NOT_LEADER, 'another instance owns the program now'
-).refusal
-
-
-def _check_same(existing: Program, req: api.Create) -> None:
-    asked = (req.workspace, req.service, req.parent)
-    is_same = asked == (existing.workspace, existing.service, existing.parent)
-    is_same = is_same and req.tokens in {None, existing.granted.tokens}
-    is_same = is_same and req.calls in {None, existing.granted.calls}
-    if not is_same:
-        raise CallError(
-            ErrorCode.STEP_CONFLICT,
-            'this idempotency key was used for another request',
-        )
-
-
-def _view(record: Program, *, steps: bool) -> api.View:
-    ordered = [record.steps[number] for number in sorted(record.steps)]
-    return api.View(
-        program=record.program,
-        state=record.state,
-        end_reason=record.end_reason,
-        granted=record.granted,
-        left=record.left,
-        next_step=record.next_step,
-        steps=ordered if steps else [],
-    )
-
-
-def _page(step: Step) -> api.Page:
-    if step.state is StepState.RUNNING:
-        raise CallError(
-            ErrorCode.UNKNOWN_STEP, 'the step is not under way here'
-        )
-    return api.Page(
-        generation=0,
-        cursor=0,
-        pieces=[],
-        answer=step.answer,
-        refusal=step.refusal,
-    )
--- a/src/acaciaramp/replication/repair.py
+++ b/src/acaciaramp/replication/repair.py
@@ -37,7 +37,7 @@
         dead_since_ms: A voter not heard since then has failed.
         spares: Replicas that answer and take no part, the best first.
     """
-    forgotten = _first_forgotten(members, progress)
+    forgotten = first_forgotten(members, progress)
     if forgotten is not None:
         return members.without(forgotten)
     caught_up = _first_caught_up(members, progress, commit)
@@ -55,7 +55,8 @@
     return None
 
 
-def _first_forgotten(members: Members, progress: Progress) -> InstanceId | None:
+def first_forgotten(members: Members, progress: Progress) -> InstanceId | None:
+    """Return where a member has lost its memory, None if none has."""
     for member in (*members.voters, *members.learners):
         peer = progress.peers.get(member.instance)
         if peer is not None and peer.replica not in {None, member}:
--- a/tests/replication/test_rules.py
+++ b/tests/replication/test_rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 import anyio
 import msgspec
@@ -22,6 +23,9 @@
 from acaciaramp.replication.timing import Timing
 from tests.replication.fuzz import Recorder
 
+if TYPE_CHECKING:
+    from acaciaramp.replication.requests import Send
+
 A, B, C, D = (Member(InstanceId(name), '0') for name in 'abcd')
 ALL = Members((A, B, C))
 
@@ -43,6 +47,19 @@
     )
 
 
+def new_replica(send: Send, clock: ManualClock) -> Replica:
+    return Replica(
+        me=A,
+        first=ALL,
+        store=MemoryStore(),
+        machine=Recorder(),
+        send=send,
+        clock=clock,
+        rng=random.Random(1),
+        timing=Timing(),
+    )
+
+
 def entry(term: int, payload: bytes = b'x') -> msgs.Entry:
     return msgs.Entry(term, msgs.EntryKind.COMMAND, payload)
 
@@ -81,16 +98,7 @@
             )
 
         clock = ManualClock()
-        replica = Replica(
-            me=A,
-            first=ALL,
-            store=MemoryStore(),
-            machine=Recorder(),
-            send=send,
-            clock=clock,
-            rng=random.Random(1),
-            timing=Timing(),
-        )
+        replica = new_replica(send, clock)
         await replica.handle(append(1, entry(1)))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(replica.run)
@@ -163,16 +171,7 @@
 
 def test_only_a_leader_takes_proposals() -> None:
     async def scenario() -> None:
-        replica = Replica(
-            me=A,
-            first=ALL,
-            store=MemoryStore(),
-            machine=Recorder(),
-            send=_unreachable,
-            clock=ManualClock(),
-            rng=random.Random(1),
-            timing=Timing(),
-        )
+        replica = new_replica(_unreachable, ManualClock())
         with pytest.raises(NotLeaderError):
             await replica.propose(b'x')
 
@@ -242,16 +241,7 @@
             return msgs.AppendReply(req.term, B, True, match)
 
         clock = ManualClock()
-        replica = Replica(
-            me=A,
-            first=ALL,
-            store=MemoryStore(),
-            machine=Recorder(),
-            send=send,
-            clock=clock,
-            rng=random.Random(1),
-            timing=Timing(),
-        )
+        replica = new_replica(send, clock)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(replica.run)
             await anyio.wait_all_tasks_blocked()
