--- a/src/acaciaramp/clock.py
+++ b/src/acaciaramp/clock.py
@@ -76,16 +76,11 @@
         return _SystemTimeout(duration_ms)
 
 
-class _SystemTimeout:
-    """A timeout on the event loop's clock."""
+class _ScopeTimeout:
+    """A timeout that cancels its body through a scope."""
 
-    def __init__(self, duration_ms: int) -> None:
+    def __init__(self) -> None:
         self._scope = CancelScope()
-        self.restart(duration_ms)
-
-    def restart(self, duration_ms: int) -> None:
-        """Allow ``duration_ms`` from now."""
-        self._scope.deadline = current_time() + duration_ms / MS_PER_SECOND
 
     def __enter__(self) -> Self:
         self._scope.__enter__()
@@ -98,6 +93,18 @@
         return bool(is_swallowed)
 
 
+class _SystemTimeout(_ScopeTimeout):
+    """A timeout on the event loop's clock."""
+
+    def __init__(self, duration_ms: int) -> None:
+        super().__init__()
+        self.restart(duration_ms)
+
+    def restart(self, duration_ms: int) -> None:
+        """Allow ``duration_ms`` from now."""
+        self._scope.deadline = current_time() + duration_ms / MS_PER_SECOND
+
+
 class _Timer(NamedTuple):
     due_ms: int
     order: int
@@ -147,12 +154,12 @@
         heapq.heappush(self._timers, _Timer(due_ms, next(self._order), fire))
 
 
-class _ManualTimeout:
+class _ManualTimeout(_ScopeTimeout):
     """A timeout on a manual clock."""
 
     def __init__(self, clock: ManualClock, duration_ms: int) -> None:
+        super().__init__()
         self._clock = clock
-        self._scope = CancelScope()
         self._due_ms = 0
         self.restart(duration_ms)
 
@@ -161,16 +168,6 @@
         self._due_ms = self._clock.now_ms() + duration_ms
         self._clock.schedule(duration_ms, self._on_due)
 
-    def __enter__(self) -> Self:
-        self._scope.__enter__()
-        return self
-
-    def __exit__(self, *exc_info: Any) -> bool:
-        is_swallowed = self._scope.__exit__(*exc_info)
-        if self._scope.cancelled_caught:
-            raise TimeoutError
-        return bool(is_swallowed)
-
     def _on_due(self) -> None:
         if self._clock.now_ms() >= self._due_ms:
             self._scope.cancel()
