--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -20,7 +20,7 @@
     encode,
 )
 from acaciaramp.peering.server import LONGEST_FRAME_BYTES
-from acaciaramp.peering.sockets import SocketClosedError, receive, send
+from acaciaramp.peering.sockets import SocketClosedError, dial, receive, send
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
 
@@ -120,10 +120,9 @@
     async def _connect_once(self) -> bool:
         sock = pynng.Pair1()
         sock.recv_max_size = LONGEST_FRAME_BYTES
-        sock.reconnect_time_min = 0
         was_heard = False
         try:
-            sock.dial(self._url, block=False)
+            await dial(sock, self._url, SILENCE_MS, self._clock)
             await self._exchange_heartbeat(sock)
             was_heard = True
             await self._stay_connected(sock)
--- a/tests/peering/test_link.py
+++ b/tests/peering/test_link.py
@@ -7,6 +7,7 @@
 import anyio
 import pynng
 import pytest
+from anyio import lowlevel
 
 from acaciaramp.clock import ManualClock, SystemClock
 from acaciaramp.errors import CallError, ErrorCode
@@ -25,6 +26,8 @@
 
 Handler = Callable[[bytes], Awaitable[bytes]]
 _WAIT_MS = 5_000
+_ROUNDS = 100
+_LINKS = 30
 
 
 async def exchange(handler: Handler, *bodies: bytes) -> list[bytes]:
@@ -125,6 +128,26 @@
         decode(encode(ReplyFrame(99, 1)))
 
 
+def test_links_that_end_while_they_connect_end_quietly() -> None:
+    """The library ended the whole process when this was done too early."""
+
+    async def scenario() -> int:
+        url = f'tcp://{build.loopback_host()}:1'
+        rounds = 0
+        for _ in range(_ROUNDS):
+            async with anyio.create_task_group() as tasks:
+                for number in range(_LINKS):
+                    name = f'entry-{number}'
+                    link = Link(name, url, SystemClock(), Metrics())
+                    tasks.start_soon(link.run)
+                await lowlevel.checkpoint()
+                tasks.cancel_scope.cancel()
+            rounds += 1
+        return rounds
+
+    assert anyio.run(scenario) == _ROUNDS
+
+
 def _only(group: ExceptionGroup[Exception]) -> CallError:
     error: BaseException = group
     while isinstance(error, BaseExceptionGroup):
