Start shares empty and after the longest loan

Change: a share begins without tokens and counts as lent until loan_ms (a new setting, 2 s) after the start; callers are served after that. A lender never lends for longer than its own loan_ms.

Ruled out: tokens on disk (not every instance has one, a sync a request), asking the borrowers (some may be cut off).

The scenario of the burst fills the buckets at a high rate first, then lowers it by a document: 7 of 20 as before, after 4 of 4. Scenarios with a clock of their own advance it by 1 s after the start.

--- a/features/access.feature
+++ b/features/access.feature
@@ -32,7 +32,12 @@
 
   Scenario: The burst counts over all instances together
     Given a deployment of 2 instances
-    And workspace "medina" has a rate of 0.001 and a burst of 7
-    When a caller sends 20 requests at once through 2 instances
+    And loans last 2000 ms
+    And workspace "medina" has a rate of 1000000 and a burst of 7
+    When a caller sends 4 requests at once through 2 instances
+    Then 4 were admitted and the others refused as over the rate
+    When an operator gives "medina" a rate of 0.001 and a burst of 7
+    And revision 2 comes into force on every instance
+    And a caller sends 20 requests at once through 2 instances
     Then 7 were admitted and the others refused as over the rate
-    And the engines were asked 7 times
+    And the engines were asked 11 times
--- a/features/steps/documents.py
+++ b/features/steps/documents.py
@@ -68,6 +68,14 @@
     context.reply = _put(context, tree, 1, build.OPERATOR_KEY)
 
 
+@when('an operator gives "{name}" a rate of {rate:g} and a burst of {burst:d}')
+def apply_rate(context: Any, name: str, rate: float, burst: int) -> None:
+    """Change the limits of the only workspace in revision 2."""
+    tree = world.deployment(context).document_tree(2)
+    tree['workspaces'][0] |= {'name': name, 'rate': rate, 'burst': burst}
+    context.reply = _put(context, tree, 1, build.OPERATOR_KEY)
+
+
 @when('a stranger applies a document')
 def apply_as_stranger(context: Any) -> None:
     """Send a document with a wrong operators' key."""
--- a/features/steps/givens.py
+++ b/features/steps/givens.py
@@ -48,6 +48,12 @@
     context.plan.document['workspaces'] = [limited]
 
 
+@given('loans last {duration:d} ms')
+def plan_loans(context: Any, duration: int) -> None:
+    """Choose how long loans of rate and burst last."""
+    context.plan.settings['loan_ms'] = duration
+
+
 @given('programs of the workspace have at most {turns:d} turns')
 def plan_turns(context: Any, turns: int) -> None:
     """Limit the turns of programs."""
--- a/src/acaciaramp/application.py
+++ b/src/acaciaramp/application.py
@@ -159,6 +159,7 @@
         tasks.start_soon(control.run)
         await self._serve_operators(control, tasks)
         await self._wait_document(control, stop)
+        await admission.wait_usable()
         ctx = self._context(router, control, admission)
         await self._serve_callers(ctx, stop)
         await host.drain(self._settings.waits.drain_ms)
@@ -201,6 +202,7 @@
             registry=self._registry,
             instances=len(links) + 1,
             wait_ms=self._settings.waits.rate_ms,
+            loan_ms=self._settings.loan_ms,
             clock=self._clock,
             lenders=list(map(lender_over, links.values())),
         )
--- a/src/acaciaramp/limits/admission.py
+++ b/src/acaciaramp/limits/admission.py
@@ -18,9 +18,7 @@
     from acaciaramp.documents.registry import Registry
     from acaciaramp.ids import InstanceId
 
-LOAN_MS = 2_000
 _ASK_AGAIN_MS = 100
-_LONGEST_LOAN_MS = 60_000
 
 Lender = Callable[[BorrowRequest], Awaitable[BorrowReply]]
 
@@ -39,6 +37,7 @@
         registry: Registry,
         instances: int,
         wait_ms: int,
+        loan_ms: int,
         clock: Clock,
         lenders: list[Lender],
     ) -> None:
@@ -49,6 +48,7 @@
             registry: The document in force.
             instances: Number of instances.
             wait_ms: Longest wait for a token, milliseconds.
+            loan_ms: How long loans last, milliseconds; no longer one is given.
             clock: Source of time.
             lenders: Ask the other instances; they raise ``CallError``.
         """
@@ -56,11 +56,21 @@
         self._registry = registry
         self._base = 1 / instances
         self._wait_ms = wait_ms
+        self._loan_ms = loan_ms
+        self._usable_ms = clock.now_ms()
+        if lenders:
+            self._usable_ms += loan_ms
         self._clock = clock
         self._lenders = lenders
         self._shares: dict[str, Share] = {}
         self._asked_ms: dict[str, int] = {}
 
+    async def wait_usable(self) -> None:
+        """Return once the loans from before the start have run out."""
+        left_ms = self._usable_ms - self._clock.now_ms()
+        if left_ms > 0:
+            await self._clock.sleep_ms(left_ms)
+
     async def admit(self, workspace: Workspace) -> None:
         """Return once the workspace may send one more request.
 
@@ -79,7 +89,7 @@
     async def lend(self, req: BorrowRequest) -> BorrowReply:
         """Lend another instance what is not needed here."""
         workspace = self._registry.workspaces.get(req.workspace)
-        if workspace is None or not 0 < req.duration_ms <= _LONGEST_LOAN_MS:
+        if workspace is None or not 0 < req.duration_ms <= self._loan_ms:
             return BorrowReply(0, 0)
         loan = self._share(workspace).lend(
             req.duration_ms, gives_way=req.borrower < self._instance
@@ -119,7 +129,7 @@
             return
         self._asked_ms[workspace.name] = now_ms
         req = BorrowRequest(
-            WorkspaceId(workspace.name), self._instance, LOAN_MS
+            WorkspaceId(workspace.name), self._instance, self._loan_ms
         )
         async with anyio.create_task_group() as tasks:
             for lender in self._lenders:
@@ -138,7 +148,7 @@
     def _share(self, workspace: Workspace) -> Share:
         share = self._shares.get(workspace.name)
         if share is None:
-            share = Share(workspace, self._base, self._clock)
+            share = Share(workspace, self._base, self._usable_ms, self._clock)
             self._shares[workspace.name] = share
         share.change(workspace)
         return share
--- a/src/acaciaramp/limits/bucket.py
+++ b/src/acaciaramp/limits/bucket.py
@@ -18,19 +18,22 @@
 class TokenBucket:
     """Admits at most ``rate`` requests a second and ``burst`` at once."""
 
-    def __init__(self, rate: float, burst: float, clock: Clock) -> None:
-        """Create the full bucket.
+    def __init__(
+        self, rate: float, burst: float, empty_ms: int, clock: Clock
+    ) -> None:
+        """Create the bucket.
 
         Args:
             rate: Tokens that come back in a second.
             burst: Most tokens that the bucket holds.
+            empty_ms: When the bucket begins to fill, on this clock.
             clock: Source of time.
         """
         self._rate = rate
         self._burst = burst
         self._clock = clock
-        self._tokens = float(burst)
-        self._filled_ms = clock.now_ms()
+        self._tokens: float = 0
+        self._filled_ms = empty_ms
 
     def change(self, rate: float, burst: float) -> None:
         """Change rate and burst; no token is given for it."""
@@ -74,7 +77,7 @@
         return math.ceil(missing / self._rate * MS_PER_SECOND)
 
     def _fill(self) -> None:
-        now_ms = self._clock.now_ms()
+        now_ms = max(self._filled_ms, self._clock.now_ms())
         passed_s = (now_ms - self._filled_ms) / MS_PER_SECOND
         self._tokens = min(self._burst, self._tokens + passed_s * self._rate)
         self._filled_ms = now_ms
--- a/src/acaciaramp/limits/share.py
+++ b/src/acaciaramp/limits/share.py
@@ -4,6 +4,10 @@
 lender stops using its part before it answers, and uses it again only when the
 loan has run out on its own clock; the borrower counts from when it asked. So no
 lost or late message breaks the sum, and no clocks need to agree.
+
+An instance that starts may have run before: it does not remember what it
+admitted nor what it lent. So a share begins without tokens, and all of it counts
+as lent until the longest loan from before has run out.
 """
 
 from __future__ import annotations
@@ -39,12 +43,16 @@
         waiting: Requests that wait here for a token.
     """
 
-    def __init__(self, workspace: Workspace, base: float, clock: Clock) -> None:
-        """Create the share with all its tokens.
+    def __init__(
+        self, workspace: Workspace, base: float, usable_ms: int, clock: Clock
+    ) -> None:
+        """Create the share without tokens.
 
         Args:
             workspace: Its rate and burst.
             base: The instance's own part, of 1 for the whole.
+            usable_ms: When the loans from before the start have run out, on
+                this clock.
             clock: Source of time.
         """
         self.waiting = 0
@@ -52,10 +60,12 @@
         self._base = base
         self._clock = clock
         self._lent: list[tuple[int, float]] = []
+        if usable_ms > clock.now_ms():
+            self._lent.append((usable_ms, base))
         self._borrowed: list[tuple[int, float]] = []
         self._used_ms = clock.now_ms() - _BUSY_MS
         self._bucket = TokenBucket(
-            workspace.rate * base, workspace.burst * base, clock
+            workspace.rate * base, workspace.burst * base, usable_ms, clock
         )
 
     @property
--- a/src/acaciaramp/settings/model.py
+++ b/src/acaciaramp/settings/model.py
@@ -157,6 +157,9 @@
             remembers nothing over a restart.
         queue_length: Most requests waiting for one service.
         programs: Most programs held in memory.
+        loan_ms: How long loans of rate and burst last, milliseconds, equal on
+            all instances; an instance serves no caller for that long after its
+            start.
         log_level: Least level that is logged.
         limits: Limits on what a caller may send.
         retries: How failed attempts are repeated.
@@ -178,6 +181,7 @@
     data_folder: str | None = None
     queue_length: PositiveInt = 1_000
     programs: PositiveInt = 10_000
+    loan_ms: PositiveInt = 2_000
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     limits: RequestLimits = RequestLimits()
     retries: Retries = Retries()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -13,7 +13,7 @@
 from anyio import lowlevel
 
 from acaciaramp.application import Application
-from acaciaramp.clock import Clock, SystemClock
+from acaciaramp.clock import Clock, ManualClock, SystemClock
 from acaciaramp.documents.model import Document
 from acaciaramp.documents.registry import key_hash
 from acaciaramp.fakes.batching import Pace
@@ -32,6 +32,8 @@
 _PORT = 7000
 _INNER_PORT = 7100
 _OPERATORS_PORT = 7200
+_LOAN_MS = 300
+_FILL_MS = 1_000
 
 
 @dataclasses.dataclass
@@ -128,6 +130,8 @@
                 self._begin_instance(number)
             for app in self.apps.values():
                 await app.ready.wait()
+            if isinstance(self.plan.clock, ManualClock):
+                self.plan.clock.advance(_FILL_MS)
             yield self
             for stop in self.stops.values():
                 stop.set()
@@ -243,7 +247,7 @@
             data_folder=self._folder_of(number),
             replication={'heartbeat_ms': 40, 'election_ms': 250},
             instance_list=f'{self._listing}/instances',
-            **self.plan.settings,
+            **{'loan_ms': _LOAN_MS, **self.plan.settings},
         )
         app = Application(settings, self._document, self.plan.clock)
         self.apps[number] = app
