Begin a program, its step and its attempt in one entry of the log

Cause: a single call made four commits one after the other (program, step, attempt, answer), each waiting for both other replicas.

Change: a Batch command; a place that is free at once is claimed before the commit, so that the attempt goes into the same entry; the submit of a single call makes its program. Two commits remain.

Ruled out: not waiting for the first commits (the state machine checks order and budget only when it applies).

--- a/src/acaciaramp/entry/calls.py
+++ b/src/acaciaramp/entry/calls.py
@@ -70,15 +70,6 @@
     started_ms = ctx.clock.now_ms()
     await ctx.admission.admit(workspace)
     ctx.metrics.time(Timer.ADMISSION, ctx.clock.now_ms() - started_ms)
-    if target.is_single:
-        await ctx.router.create(
-            api.Create(
-                program=target.program,
-                workspace=target.workspace,
-                service=step.service,
-                single=True,
-            )
-        )
     await ctx.router.submit(
         api.Submit(
             program=target.program,
@@ -86,6 +77,7 @@
             number=target.number,
             request=step,
             keep=target.keep,
+            is_single=target.is_single,
         )
     )
     return StepReader(ctx, target.workspace, target.program, target.number)
--- a/src/acaciaramp/programs/api.py
+++ b/src/acaciaramp/programs/api.py
@@ -51,6 +51,7 @@
         number: The step.
         request: What it asks for.
         keep: Whether the step goes on when its caller has gone.
+        is_single: Whether the program is made for this step only.
     """
 
     program: ProgramId
@@ -58,6 +59,16 @@
     number: StepNumber
     request: StepRequest
     keep: bool = True
+    is_single: bool = False
+
+    def own_program(self) -> Create:
+        """Return the request that makes a program for this step only."""
+        return Create(
+            program=self.program,
+            workspace=self.workspace,
+            service=self.request.service,
+            single=True,
+        )
 
 
 class Read(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/src/acaciaramp/programs/commands.py
+++ b/src/acaciaramp/programs/commands.py
@@ -145,7 +145,7 @@
     program: ProgramId
 
 
-Command = (
+SingleCommand = (
     CreateProgram
     | BeginStep
     | BeginAttempt
@@ -155,3 +155,18 @@
     | EndProgram
     | ForgetProgram
 )
+
+
+class Batch(msgspec.Struct, frozen=True, tag=True):
+    """Applies commands in their order, in one entry of the log.
+
+    When one is refused, those before it stay and the rest is left out.
+
+    Attributes:
+        commands: The commands.
+    """
+
+    commands: tuple[SingleCommand, ...]
+
+
+Command = SingleCommand | Batch
--- a/src/acaciaramp/programs/dispatch.py
+++ b/src/acaciaramp/programs/dispatch.py
@@ -21,11 +21,12 @@
     from acaciaramp.clock import Clock
     from acaciaramp.documents.model import Service
     from acaciaramp.endpoints.calls import Sender
+    from acaciaramp.ids import ProgramId
     from acaciaramp.metrics.client import Metrics
     from acaciaramp.programs.log import CommandLog
     from acaciaramp.programs.runs import Run
     from acaciaramp.records import Answer, Program, Step
-    from acaciaramp.scheduling.placement import Placement
+    from acaciaramp.scheduling.placement import Claim, Placement
     from acaciaramp.scheduling.scheduler import Scheduler
     from acaciaramp.settings.model import Retries
 
@@ -70,6 +71,7 @@
         record: Program,
         step: Step,
         run: Run,
+        claim: Claim | None = None,
     ) -> Answer:
         """Return the whole answer of a step.
 
@@ -79,23 +81,38 @@
             record: The step's program.
             step: The step.
             run: Takes the pieces of the answer as they come.
+            claim: The place of an attempt that the log has already.
 
         Raises:
             CallError: No attempt gave an answer; says whether one may have run.
         """
         self._budget.on_request()
         while True:
-            placed = self._scheduler.place(service, record, step)
+            if claim is None:
+                placed = self._scheduler.place(service, record, step)
+            else:
+                placed = claim.held()
             async with placed as placement:
+                if claim is None:
+                    await log.commit(
+                        begin_attempt(record.program, step, placement)
+                    )
                 try:
                     return await self._attempt(
                         log, service, record, step, run, placement
                     )
                 except EndpointError as exc:
                     error = exc
+            claim = None
             await self._prepare_retry(step, error)
             run.restart()
 
+    def try_claim(
+        self, service: Service, record: Program, step: Step
+    ) -> Claim | None:
+        """Claim a place for a step that begins, if one is free at once."""
+        return self._scheduler.try_claim(service, record, step)
+
     async def _attempt(
         self,
         log: CommandLog,
@@ -105,17 +122,6 @@
         run: Run,
         placement: Placement,
     ) -> Answer:
-        number = len(step.attempts)
-        await log.commit(
-            BeginAttempt(
-                program=record.program,
-                number=step.number,
-                attempt=number,
-                endpoint=EndpointId(placement.endpoint.id),
-                reason=placement.reason.value,
-                queued_ms=placement.queued_ms,
-            )
-        )
         call = Call(
             program=record.program,
             request=step.request,
@@ -132,7 +138,7 @@
                 EndAttempt(
                     program=record.program,
                     number=step.number,
-                    attempt=number,
+                    attempt=len(step.attempts) - 1,
                     verdict=exc.verdict,
                     failure=exc.failure.value,
                 )
@@ -166,6 +172,20 @@
         return step.request.repeatable or error.verdict is Verdict.NOT_RUN
 
 
+def begin_attempt(
+    program: ProgramId, step: Step, placement: Placement
+) -> BeginAttempt:
+    """Return the record of the intent to send a step's request."""
+    return BeginAttempt(
+        program=program,
+        number=step.number,
+        attempt=len(step.attempts),
+        endpoint=EndpointId(placement.endpoint.id),
+        reason=placement.reason.value,
+        queued_ms=placement.queued_ms,
+    )
+
+
 def verdict_of(step: Step) -> Verdict:
     """Return what is known of the execution of a step under way."""
     verdict = Verdict.NOT_RUN
--- a/src/acaciaramp/programs/home.py
+++ b/src/acaciaramp/programs/home.py
@@ -4,32 +4,28 @@
 
 from typing import TYPE_CHECKING
 
-import anyio
-
 from acaciaramp.errors import CallError, ErrorCode
-from acaciaramp.ids import StepNumber
-from acaciaramp.metrics.names import Counter, Timer
+from acaciaramp.metrics.names import Counter
 from acaciaramp.programs import api, expiry
 from acaciaramp.programs.commands import (
+    Batch,
     BeginStep,
     CreateProgram,
     EndProgram,
-    FailStep,
-    FinishStep,
     ForgetProgram,
+    SingleCommand,
 )
 from acaciaramp.programs.create import new_record
-from acaciaramp.programs.dispatch import verdict_of
-from acaciaramp.programs.log import CommitError
+from acaciaramp.programs.dispatch import begin_attempt, verdict_of
+from acaciaramp.programs.machine import new_step
 from acaciaramp.programs.reserve import worst_case
+from acaciaramp.programs.runner import MOVED, Runner
 from acaciaramp.programs.runs import Run
 from acaciaramp.programs.views import check_same, page_of, view_of
 from acaciaramp.records import (
-    Answer,
     EndReason,
     Program,
     ProgramState,
-    Step,
 )
 from acaciaramp.util.logs import get_logger
 
@@ -38,8 +34,7 @@
 
     from acaciaramp.clock import Clock
     from acaciaramp.documents.registry import Registry
-    from acaciaramp.errors import Refusal
-    from acaciaramp.ids import ProgramId, WorkspaceId
+    from acaciaramp.ids import ProgramId, StepNumber, WorkspaceId
     from acaciaramp.metrics.client import Metrics
     from acaciaramp.programs.dispatch import Dispatcher
     from acaciaramp.programs.log import CommandLog
@@ -50,11 +45,6 @@
 logger = get_logger('programs')
 
 
-_MOVED = CallError(
-    ErrorCode.NOT_LEADER, 'another instance owns the program now'
-).refusal
-
-
 class Home:
     """Owns programs and runs their steps."""
 
@@ -92,14 +82,23 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
-        self._tasks = tasks
         self._is_refusing = False
-        self._runs: dict[tuple[ProgramId, StepNumber], Run] = {}
+        self._runner = Runner(
+            state=state,
+            log=log,
+            registry=registry,
+            dispatcher=dispatcher,
+            releases=releases,
+            longest_ms=settings.waits.step_ms,
+            clock=clock,
+            metrics=metrics,
+            tasks=tasks,
+        )
 
     @property
     def running(self) -> int:
         """How many steps are under way."""
-        return len(self._runs)
+        return self._runner.running
 
     async def create(self, req: api.Create) -> api.View:
         """Create a program, or return the one that the request made before.
@@ -111,15 +110,9 @@
         if existing is not None:
             check_same(existing, req)
             return view_of(existing, steps=False)
-        if len(self._state.by_id) >= self._settings.programs:
-            raise CallError(
-                ErrorCode.PROGRAM_LIMIT,
-                'this instance holds as many programs as it may',
-                retry_after_ms=self._settings.waits.queue_ms,
-            )
         if req.parent is not None:
             self._owned(req.parent, req.workspace)
-        record = new_record(req, self._registry, self._clock.wall_ms())
+        record = self._new_record(req)
         await self._log.commit(CreateProgram(record))
         self._metrics.count(Counter.PROGRAM_CREATED)
         return view_of(record, steps=False)
@@ -130,7 +123,7 @@
         Raises:
             CallError: Order, budget, limits or another body forbid it.
         """
-        record = self._owned(req.program, req.workspace)
+        record = self._record_of(req)
         await self._wait_previous(record, req.number)
         known = record.steps.get(req.number)
         if known is not None:
@@ -141,18 +134,8 @@
                 f'step {req.number} exists with another body',
             )
         if self._is_refusing:
-            raise CallError.from_refusal(_MOVED)
-        service = self._registry.service(req.request.service)
-        await self._log.commit(
-            BeginStep(
-                program=req.program,
-                number=req.number,
-                request=req.request,
-                reserved=worst_case(record, req.request, service.max_tokens),
-                at_ms=self._clock.wall_ms(),
-            )
-        )
-        self._start(record, record.steps[req.number], keep=req.keep)
+            raise CallError.from_refusal(MOVED)
+        await self._begin(record, req)
         return api.Done()
 
     async def read(self, req: api.Read) -> api.Page:
@@ -162,7 +145,7 @@
             CallError: There is no such program or step.
         """
         self._owned(req.program, req.workspace)
-        run = self._runs.get((req.program, req.number))
+        run = self._runner.find(req.program, req.number)
         if run is None:
             return page_of(self._state.step(req.program, req.number))
         try:
@@ -171,8 +154,8 @@
         except TimeoutError:
             return run.page(req)
         page = run.page(req)
-        if page.refusal == _MOVED:
-            raise CallError.from_refusal(_MOVED)
+        if page.refusal == MOVED:
+            raise CallError.from_refusal(MOVED)
         return page
 
     async def show(self, req: api.Show) -> api.View:
@@ -196,7 +179,7 @@
     async def cancel(self, req: api.Cancel) -> api.Done:
         """Cancel a step whose caller has gone, unless it is to be kept."""
         self._owned(req.program, req.workspace)
-        run = self._runs.get((req.program, req.number))
+        run = self._runner.find(req.program, req.number)
         if run is not None and not run.keep:
             run.scope.cancel()
         return api.Done()
@@ -233,14 +216,14 @@
             if step is None:
                 continue
             if step.request.repeatable or not step.attempts:
-                self._start(record, step, keep=True)
+                self._runner.start(record, step, None, keep=True)
                 continue
             refusal = CallError(
                 ErrorCode.OUTCOME_UNKNOWN,
                 'the instance was lost that had sent the call',
                 verdict_of(step),
             ).refusal
-            await self._fail(record, step, Run(keep=True), refusal)
+            await self._runner.fail(record, step, Run(keep=True), refusal)
 
     def is_gone(self, program: ProgramId) -> bool:
         """Return whether no engine needs to remember a program."""
@@ -249,38 +232,77 @@
             return True
         return record.state is ProgramState.ENDED and record.running is None
 
-    def refuse_new(self) -> None:
-        """Send new steps elsewhere from now on."""
-        self._is_refusing = True
-
     def abandon(self) -> None:
         """Send all readers elsewhere: another instance owns the programs."""
-        for run in self._runs.values():
-            if not run.is_over:
-                run.fail(_MOVED)
+        self._runner.abandon()
 
     async def wait_idle(self) -> None:
         """Return once no step is under way."""
-        while self._runs:
-            run = next(iter(self._runs.values()))
-            await run.wait_change()
+        await self._runner.wait_idle()
+
+    def refuse_new(self) -> None:
+        """Send new steps elsewhere from now on."""
+        self._is_refusing = True
+
+    def _record_of(self, req: api.Submit) -> Program:
+        """Return the program of a step; a new one if it is made for it."""
+        if not req.is_single:
+            return self._owned(req.program, req.workspace)
+        existing = self._state.by_id.get(req.program)
+        if existing is None:
+            return self._new_record(req.own_program())
+        check_same(existing, req.own_program())
+        return existing
+
+    def _new_record(self, req: api.Create) -> Program:
+        if len(self._state.by_id) >= self._settings.programs:
+            raise CallError(
+                ErrorCode.PROGRAM_LIMIT,
+                'this instance holds as many programs as it may',
+                retry_after_ms=self._settings.waits.queue_ms,
+            )
+        return new_record(req, self._registry, self._clock.wall_ms())
+
+    async def _begin(self, record: Program, req: api.Submit) -> None:
+        """Begin a step: its program, the step and its attempt in one entry."""
+        service = self._registry.service(req.request.service)
+        begin = BeginStep(
+            program=req.program,
+            number=req.number,
+            request=req.request,
+            reserved=worst_case(record, req.request, service.max_tokens),
+            at_ms=self._clock.wall_ms(),
+        )
+        commands: list[SingleCommand] = [begin]
+        is_new = req.program not in self._state.by_id
+        if is_new:
+            commands.insert(0, CreateProgram(record))
+        step = new_step(begin)
+        claim = self._dispatcher.try_claim(service, record, step)
+        if claim is not None:
+            commands.append(begin_attempt(req.program, step, claim.placement))
+        try:
+            await self._log.commit(Batch(tuple(commands)))
+        except BaseException:
+            if claim is not None:
+                claim.give_back()
+            raise
+        if is_new:
+            self._metrics.count(Counter.PROGRAM_CREATED)
+        begun = self._state.get(req.program)
+        self._runner.start(begun, begun.steps[req.number], claim, keep=req.keep)
 
     def _after_end(self, record: Program) -> None:
         step = record.running
         if step is None:
             self._releases.add(record)
         else:
-            self._cancel(record.program, step.number)
+            self._runner.cancel(record.program, step.number)
         for name in record.children:
             child = self._state.by_id.get(name)
             if child is not None:
                 self._after_end(child)
 
-    def _cancel(self, program: ProgramId, number: StepNumber) -> None:
-        run = self._runs.get((program, number))
-        if run is not None:
-            run.scope.cancel()
-
     def _owned(self, program: ProgramId, workspace: WorkspaceId) -> Program:
         record = self._state.get(program)
         if record.workspace != workspace:
@@ -290,11 +312,9 @@
         return record
 
     async def _wait_previous(self, record: Program, number: StepNumber) -> None:
-        previous = record.program, StepNumber(number - 1)
         try:
             with self._clock.timeout(self._settings.waits.previous_step_ms):
-                while previous in self._runs and number not in record.steps:
-                    await self._runs[previous].wait_change()
+                await self._runner.wait_before(record, number)
         except TimeoutError:
             raise CallError(
                 ErrorCode.STEP_CONFLICT,
@@ -306,88 +326,3 @@
                 ErrorCode.STEP_SKIPPED,
                 f'the next step is {record.next_step}, not {number}',
             )
-
-    def _start(self, record: Program, step: Step, *, keep: bool) -> None:
-        run = Run(keep=keep)
-        self._runs[record.program, step.number] = run
-        self._metrics.count(Counter.STARTED, step.request.kind)
-        self._tasks.start_soon(self._run_step, record, step, run)
-
-    async def _run_step(self, record: Program, step: Step, run: Run) -> None:
-        started_ms = self._clock.now_ms()
-        try:
-            await self._run_to_end(record, step, run)
-        except CommitError:
-            run.fail(_MOVED)
-        finally:
-            self._after_run(record, step)
-            self._metrics.time(Timer.STEP, self._clock.now_ms() - started_ms)
-
-    def _after_run(self, record: Program, step: Step) -> None:
-        self._runs.pop((record.program, step.number), None)
-        if record.state is ProgramState.ENDED:
-            self._releases.add(record)
-
-    async def _run_to_end(self, record: Program, step: Step, run: Run) -> None:
-        longest_ms = min(
-            self._settings.waits.step_ms,
-            max(1, record.deadline_ms - self._clock.wall_ms()),
-        )
-        try:
-            with run.scope, self._clock.timeout(longest_ms):
-                service = self._registry.service(step.request.service)
-                answer = await self._dispatcher.run(
-                    self._log, service, record, step, run
-                )
-                await self._finish(record, step, run, answer)
-                return
-        except TimeoutError:
-            refusal = CallError(
-                ErrorCode.DEADLINE_EXCEEDED,
-                'the step took longer than it may',
-                verdict_of(step),
-            ).refusal
-        except CallError as exc:
-            refusal = exc.refusal
-        else:
-            self._metrics.count(Counter.CANCELLED)
-            refusal = CallError(
-                ErrorCode.CANCELLED, 'the step was cancelled', verdict_of(step)
-            ).refusal
-        with anyio.CancelScope(shield=True):
-            await self._fail(record, step, run, refusal)
-
-    async def _finish(
-        self, record: Program, step: Step, run: Run, answer: Answer
-    ) -> None:
-        with anyio.CancelScope(shield=True):
-            command = FinishStep(
-                program=record.program,
-                number=step.number,
-                answer=answer,
-                at_ms=self._clock.wall_ms(),
-            )
-            await self._log.commit(command)
-        self._metrics.count(Counter.FINISHED, step.request.kind)
-        run.finish(command.answer)
-
-    async def _fail(
-        self, record: Program, step: Step, run: Run, refusal: Refusal
-    ) -> None:
-        logger.warning(
-            'The step failed.',
-            program=record.program,
-            step=step.number,
-            code=refusal.code.value,
-            verdict=refusal.verdict.value,
-        )
-        await self._log.commit(
-            FailStep(
-                program=record.program,
-                number=step.number,
-                refusal=refusal,
-                at_ms=self._clock.wall_ms(),
-            )
-        )
-        self._metrics.count(Counter.FAILED, refusal.code)
-        run.fail(refusal)
--- a/src/acaciaramp/programs/machine.py
+++ b/src/acaciaramp/programs/machine.py
@@ -1,7 +1,8 @@
 """Applies commands to the state of programs.
 
 ``apply`` is deterministic and either changes the state as the command says
-or raises ``CallError`` and changes nothing.
+or raises ``CallError`` and changes nothing, but for a batch, which is refused
+from the first command on that is.
 """
 
 from __future__ import annotations
@@ -78,6 +79,17 @@
     _apply(command, state)
 
 
+def new_step(command: cmds.BeginStep) -> Step:
+    """Return the step that a command begins."""
+    return Step(
+        number=command.number,
+        request=command.request,
+        fingerprint=command.request.fingerprint(),
+        reserved=command.reserved,
+        started_ms=command.at_ms,
+    )
+
+
 @functools.singledispatch
 def _apply(command: object, state: Programs) -> None:
     raise TypeError(f'not a command: {command!r}')
@@ -127,13 +139,7 @@
     record.reserved = record.reserved.plus(command.reserved)
     record.stored_bytes += size
     record.touched_ms = command.at_ms
-    record.steps[command.number] = Step(
-        number=command.number,
-        request=command.request,
-        fingerprint=command.request.fingerprint(),
-        reserved=command.reserved,
-        started_ms=command.at_ms,
-    )
+    record.steps[command.number] = new_step(command)
 
 
 @_apply.register
@@ -220,6 +226,12 @@
     state.by_id.pop(command.program)
 
 
+@_apply.register
+def _batch(command: cmds.Batch, state: Programs) -> None:
+    for item in command.commands:
+        _apply(item, state)
+
+
 def _open_program(state: Programs, program: ProgramId) -> Program:
     record = state.get(program)
     if record.state is ProgramState.ENDED:
--- a/src/acaciaramp/scheduling/placement.py
+++ b/src/acaciaramp/scheduling/placement.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import AsyncIterator, Callable, Sequence
 
     from acaciaramp.documents.model import Endpoint
     from acaciaramp.records import Program, Step
@@ -34,6 +35,41 @@
     queued_ms: int
 
 
+class Claim:
+    """A place at an endpoint, held until it is given back.
+
+    Attributes:
+        placement: The endpoint.
+    """
+
+    def __init__(
+        self, placement: Placement, give_back: Callable[[], None]
+    ) -> None:
+        """Create the claim.
+
+        Args:
+            placement: The endpoint.
+            give_back: Frees the place.
+        """
+        self.placement = placement
+        self._give_back = give_back
+        self._is_held = True
+
+    def give_back(self) -> None:
+        """Free the place, if that has not been done."""
+        if self._is_held:
+            self._is_held = False
+            self._give_back()
+
+    @contextlib.asynccontextmanager
+    async def held(self) -> AsyncIterator[Placement]:
+        """Hold the place while the body runs."""
+        try:
+            yield self.placement
+        finally:
+            self.give_back()
+
+
 class Candidate(NamedTuple):
     """An endpoint with a free place.
 
--- a/src/acaciaramp/scheduling/scheduler.py
+++ b/src/acaciaramp/scheduling/scheduler.py
@@ -4,6 +4,7 @@
 
 import collections
 import contextlib
+import functools
 import itertools
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from acaciaramp.scheduling.health import Health
 from acaciaramp.scheduling.placement import (
     Candidate,
+    Claim,
     Placement,
     Reason,
     choose,
@@ -92,14 +94,28 @@
             CallError: The queue is full, or no place came free in time.
         """
         started_ms = self._clock.now_ms()
-        endpoint, reason = await self._wait_place(service, record, step)
+        chosen = await self._wait_place(service, record, step)
         queued_ms = self._clock.now_ms() - started_ms
-        self._metrics.time(Timer.QUEUE, queued_ms)
-        try:
-            yield Placement(endpoint, reason, queued_ms)
-        finally:
-            self._in_flight[endpoint.id] -= 1
-            self.wake(service)
+        claim = self._claim(service, Placement(*chosen, queued_ms))
+        async with claim.held() as placement:
+            yield placement
+
+    def try_claim(
+        self, service: Service, record: Program, step: Step
+    ) -> Claim | None:
+        """Claim a place, if one is free and nobody waits for it.
+
+        Args:
+            service: The service that is called.
+            record: The program.
+            step: The step.
+        """
+        if self._queues.get(service.name):
+            return None
+        chosen = self._take(service, record, step)
+        if chosen is None:
+            return None
+        return self._claim(service, Placement(*chosen, 0))
 
     def report_failure(self, endpoint: Endpoint, error: EndpointError) -> None:
         """Take note of a failed attempt."""
@@ -184,8 +200,16 @@
 
     def _give_back(self, service: Service, waiter: _Waiter) -> None:
         if waiter.chosen is not None:
-            self._in_flight[waiter.chosen[0].id] -= 1
-            self.wake(service)
+            self._free(service, waiter.chosen[0])
+
+    def _claim(self, service: Service, placement: Placement) -> Claim:
+        self._metrics.time(Timer.QUEUE, placement.queued_ms)
+        free = functools.partial(self._free, service, placement.endpoint)
+        return Claim(placement, free)
+
+    def _free(self, service: Service, endpoint: Endpoint) -> None:
+        self._in_flight[endpoint.id] -= 1
+        self.wake(service)
 
     def _shortest_pause_ms(self, service: Service) -> int | None:
         pauses_ms = [
--- a/tests/programs/test_machine.py
+++ b/tests/programs/test_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from acaciaramp.errors import CallError, ErrorCode
-from acaciaramp.ids import ProgramId, StepNumber
+from acaciaramp.ids import EndpointId, ProgramId, StepNumber
 from acaciaramp.programs import commands as cmds
 from acaciaramp.programs.machine import Programs, apply
 from acaciaramp.records import Budget, EndReason, ProgramState, StepState
@@ -227,3 +227,29 @@
         )
         assert min(record.left.tokens, record.left.calls) >= 0
         assert record.reserved == Budget(0, 0)
+
+
+def test_batch_is_refused_from_the_first_command_that_is() -> None:
+    state = Programs()
+    create = cmds.CreateProgram(build.program())
+    skipped = cmds.Batch((create, build.begin_step(2), build.begin_step(1)))
+    with pytest.raises(CallError) as caught:
+        apply(state, skipped)
+    assert caught.value.refusal.code is ErrorCode.STEP_CONFLICT
+    assert not state.get(build.PROGRAM).steps
+
+
+def test_batch_begins_a_program_its_step_and_its_attempt() -> None:
+    state = Programs()
+    create = cmds.CreateProgram(build.program())
+    attempt = cmds.BeginAttempt(
+        program=build.PROGRAM,
+        number=build.FIRST,
+        attempt=0,
+        endpoint=EndpointId('engine-1'),
+        reason='warm',
+        queued_ms=0,
+    )
+    apply(state, cmds.Batch((create, build.begin_step(1), attempt)))
+    step = state.step(build.PROGRAM, build.FIRST)
+    assert [item.endpoint for item in step.attempts] == ['engine-1']
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -162,3 +162,15 @@
         assert bench.order == ['a@engine-1', 'c@engine-1']
 
     anyio.run(scenario)
+
+
+def test_claim_holds_a_place_until_it_is_given_back() -> None:
+    bench = Bench({'engine-1': 'http://127.0.0.1:1'})
+    record = build.program()
+    claim = bench.scheduler.try_claim(bench.service, record, step())
+    assert claim is not None
+    assert bench.scheduler.try_claim(bench.service, record, step()) is None
+    claim.give_back()
+    claim.give_back()
+    assert bench.scheduler.try_claim(bench.service, record, step()) is not None
+    assert bench.scheduler.try_claim(bench.service, record, step()) is None
