Cause every fault of instances, links and disks at every step of a call

What was missing: the fault matrix. A network that can be cut one way or both ways or fall silent for good now lies between the instances of a scenario (tests/relay.py), traps cause a fault at the very point that a call reaches (tests/traps.py), and 69 scenarios go through {leader dies, is cut off, hears nobody, is heard by nobody, its open links fall silent, its disk fails, another replica dies} at {admission, intent appended, intent acked, sent, first token, mid-stream, outcome appended, outcome acked}, for a model call and for a call that must not be repeated. Checked: whole answers, history, charged calls, the same steps everywhere once the network is whole, at most one execution, no execution when told not run, the same outcome through another instance.

Found: an instance that is stopped while a proposal waits for others never ended, for the end of a step is recorded under a shield and nobody resolved the proposal. A leader that is stopped now gives its proposals up.

Ruled out as faults of the code: "another replica dies" failed at first because the scenario went on asking the dead instance; it now asks the next, as a balancer does.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 from typing import Any
 
@@ -20,6 +21,7 @@
     context.portal_manager = start_blocking_portal()
     context.portal = context.portal_manager.__enter__()
     context.running = None
+    context.patched = contextlib.ExitStack()
 
 
 def after_scenario(context: Any, scenario: Any) -> None:
@@ -27,3 +29,4 @@
     if context.running is not None:
         context.running.__exit__(None, None, None)
     context.portal_manager.__exit__(None, None, None)
+    context.patched.close()
--- /dev/null
+++ b/features/matrix.feature
@@ -0,0 +1,100 @@
+Feature: Every fault at every step of a call
+
+  Scenario Outline: <fault> at the point "<point>" of a model call
+    Given a deployment of 3 instances on a network and disks
+    And engines that give a token every 2 ms
+    And all cells are at full strength
+    And a program
+    When at the point "<point>" of a call <fault>
+    And a caller insists on step 1 "one" through instance 2
+    And a caller insists on step 2 "two" through instance 3
+    Then the fault was caused
+    And step 2 read 3 messages and 2 calls were charged
+    When the network is whole again
+    Then every living instance shows the same 2 steps
+
+    Examples:
+      | fault                       | point            |
+      | its leader dies             | admission        |
+      | its leader dies             | intent appended  |
+      | its leader dies             | intent acked     |
+      | its leader dies             | sent             |
+      | its leader dies             | first token      |
+      | its leader dies             | mid-stream       |
+      | its leader dies             | outcome appended |
+      | its leader dies             | outcome acked    |
+      | its leader is cut off       | admission        |
+      | its leader is cut off       | intent appended  |
+      | its leader is cut off       | intent acked     |
+      | its leader is cut off       | sent             |
+      | its leader is cut off       | first token      |
+      | its leader is cut off       | mid-stream       |
+      | its leader is cut off       | outcome appended |
+      | its leader is cut off       | outcome acked    |
+      | its leader hears nobody     | admission        |
+      | its leader hears nobody     | intent appended  |
+      | its leader hears nobody     | intent acked     |
+      | its leader hears nobody     | first token      |
+      | its leader hears nobody     | mid-stream       |
+      | its leader hears nobody     | outcome appended |
+      | its leader hears nobody     | outcome acked    |
+      | nobody hears its leader     | admission        |
+      | nobody hears its leader     | intent appended  |
+      | nobody hears its leader     | intent acked     |
+      | nobody hears its leader     | first token      |
+      | nobody hears its leader     | mid-stream       |
+      | nobody hears its leader     | outcome appended |
+      | nobody hears its leader     | outcome acked    |
+      | its open links fall silent  | admission        |
+      | its open links fall silent  | intent appended  |
+      | its open links fall silent  | intent acked     |
+      | its open links fall silent  | mid-stream       |
+      | its open links fall silent  | outcome appended |
+      | the disk of its leader fails | intent appended  |
+      | the disk of its leader fails | mid-stream       |
+      | the disk of its leader fails | outcome appended |
+      | another replica dies        | admission        |
+      | another replica dies        | intent appended  |
+      | another replica dies        | intent acked     |
+      | another replica dies        | mid-stream       |
+      | another replica dies        | outcome appended |
+
+  Scenario Outline: <fault> at the point "<point>" of a call that must not be repeated
+    Given a deployment of 3 instances on a network and disks
+    And all cells are at full strength
+    And a program
+    When at the point "<point>" of a call <fault>
+    And a caller insists on reserving "cone-17" through instance 2
+    And a caller insists on reserving "cone-17" through instance 3
+    Then the fault was caused
+    And the reservation was carried out at most once and never when told not run
+    And both callers were told the same
+
+    Examples:
+      | fault                       | point            |
+      | its leader dies             | admission        |
+      | its leader dies             | intent appended  |
+      | its leader dies             | intent acked     |
+      | its leader dies             | sent             |
+      | its leader dies             | first token      |
+      | its leader dies             | outcome appended |
+      | its leader dies             | outcome acked    |
+      | its leader is cut off       | admission        |
+      | its leader is cut off       | intent appended  |
+      | its leader is cut off       | intent acked     |
+      | its leader is cut off       | sent             |
+      | its leader is cut off       | first token      |
+      | its leader is cut off       | outcome appended |
+      | its leader is cut off       | outcome acked    |
+      | its leader hears nobody     | intent appended  |
+      | its leader hears nobody     | intent acked     |
+      | its leader hears nobody     | outcome appended |
+      | nobody hears its leader     | intent appended  |
+      | nobody hears its leader     | intent acked     |
+      | nobody hears its leader     | outcome appended |
+      | its open links fall silent  | intent appended  |
+      | its open links fall silent  | outcome appended |
+      | the disk of its leader fails | intent appended  |
+      | the disk of its leader fails | outcome appended |
+      | another replica dies        | intent appended  |
+      | another replica dies        | outcome appended |
--- a/src/acaciaramp/application.py
+++ b/src/acaciaramp/application.py
@@ -32,7 +32,7 @@
 from acaciaramp.limits.wire import lender_over
 from acaciaramp.membership.leaving import LeavingList
 from acaciaramp.metrics.client import Metrics
-from acaciaramp.peering.link import Link
+from acaciaramp.peering.link import Link, LinkTiming
 from acaciaramp.peering.messages import Channel
 from acaciaramp.peering.server import Address, serve_peers
 from acaciaramp.programs.releases import Releases
@@ -268,9 +268,15 @@
             logger.info('The instance is stopping.', instance=settings.instance)
 
     def _links(self) -> dict[InstanceId, Link]:
+        times = self._settings.links
+        timing = LinkTiming(times.heartbeat_ms, times.silence_ms)
         return {
             InstanceId(peer.instance): Link(
-                peer.instance, _address_of(peer), self._clock, self.metrics
+                peer.instance,
+                _address_of(peer),
+                self._clock,
+                self.metrics,
+                timing,
             )
             for peer in self._settings.peers
         }
--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
 
@@ -33,12 +33,25 @@
 
 logger = get_logger('peering')
 
-HEARTBEAT_MS = 500
-SILENCE_MS = 2_000
 _RECONNECT_MS = 100
 _RECONNECT_LONGEST_MS = 1_000
 
 
+class LinkTiming(NamedTuple):
+    """Times of a link, milliseconds.
+
+    Attributes:
+        heartbeat_ms: Between two heartbeats.
+        silence_ms: Silence after which the connection is closed.
+    """
+
+    heartbeat_ms: int = 500
+    silence_ms: int = 2_000
+
+
+DEFAULT_TIMING = LinkTiming()
+
+
 class LinkLostError(AcaciarampError):
     """The link was lost before the reply came."""
 
@@ -50,12 +63,17 @@
 class Link:
     """Requests to one other instance over one connection at a time.
 
-    A connection that brings nothing within ``SILENCE_MS``, heartbeats
+    A connection that brings nothing for a time, heartbeats
     included, is closed and made anew.
     """
 
     def __init__(
-        self, instance: str, address: Address, clock: Clock, metrics: Metrics
+        self,
+        instance: str,
+        address: Address,
+        clock: Clock,
+        metrics: Metrics,
+        timing: LinkTiming = DEFAULT_TIMING,
     ) -> None:
         """Create the link; ``run`` keeps it connected.
 
@@ -64,10 +82,12 @@
             address: Where it listens for other instances.
             clock: Measures silence.
             metrics: Counts opened and lost links.
+            timing: Heartbeats and silence.
         """
         self._instance = instance
         self._address = address
         self._clock = clock
+        self._timing = timing
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Pending] = {}
@@ -104,7 +124,7 @@
                 ErrorCode.HOME_UNREACHABLE,
                 f'instance "{self._instance}" does not answer',
                 pending.verdict,
-                retry_after_ms=SILENCE_MS,
+                retry_after_ms=self._timing.silence_ms,
             ) from None
         self._metrics.time(Timer.PEER, self._clock.now_ms() - started_ms)
         if reply.refusal is not None:
@@ -122,7 +142,7 @@
 
     async def _connect_once(self) -> bool:
         try:
-            with self._clock.timeout(SILENCE_MS):
+            with self._clock.timeout(self._timing.silence_ms):
                 stream = await anyio.connect_tcp(*self._address)
         except _BROKEN:
             return False
@@ -142,7 +162,7 @@
         return was_heard
 
     async def _exchange_heartbeat(self, frames: FrameStream) -> None:
-        with self._clock.timeout(SILENCE_MS):
+        with self._clock.timeout(self._timing.silence_ms):
             await frames.send(_HEARTBEAT)
             await frames.receive()
 
@@ -157,13 +177,13 @@
 
     async def _send_heartbeats(self, frames: FrameStream) -> None:
         while True:
-            await self._clock.sleep_ms(HEARTBEAT_MS)
-            with self._clock.timeout(SILENCE_MS):
+            await self._clock.sleep_ms(self._timing.heartbeat_ms)
+            with self._clock.timeout(self._timing.silence_ms):
                 await frames.send(_HEARTBEAT)
 
     async def _receive(self, frames: FrameStream) -> None:
         while True:
-            with self._clock.timeout(SILENCE_MS):
+            with self._clock.timeout(self._timing.silence_ms):
                 wire = await frames.receive()
             self._take(wire)
 
--- a/src/acaciaramp/replication/leading.py
+++ b/src/acaciaramp/replication/leading.py
@@ -65,11 +65,12 @@
         self.progress = Progress(state.me)
         self.is_handing_over = False
         self._first_index = state.log.last_index + 1
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            state.leading = tasks.cancel_scope
-            self._append(msgs.Entry(state.term, msgs.EntryKind.NOTHING))
-            tasks.start_soon(self._check_quorum)
+        try:
+            await self._keep_leading()
+        finally:
+            # Who waits for a proposal must not wait for ever.
+            if state.role is Role.LEADER:
+                state.step_down(state.term)
         state.timer_ms = state.clock.now_ms()
 
     async def propose(self, kind: msgs.EntryKind, payload: bytes) -> object:
@@ -91,6 +92,14 @@
         await self._wait_for_all(index)
         return outcome
 
+    async def _keep_leading(self) -> None:
+        state = self._state
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            state.leading = tasks.cancel_scope
+            self._append(msgs.Entry(state.term, msgs.EntryKind.NOTHING))
+            tasks.start_soon(self._check_quorum)
+
     def _append(self, entry: msgs.Entry) -> None:
         state = self._state
         state.log.append([entry])
--- a/src/acaciaramp/settings/model.py
+++ b/src/acaciaramp/settings/model.py
@@ -139,6 +139,18 @@
     compact_entries: PositiveInt = 2_000
 
 
+class Links(StrictModel):
+    """Times of the links between instances.
+
+    Attributes:
+        heartbeat_ms: Between two heartbeats, milliseconds.
+        silence_ms: Silence after which a link is made anew, milliseconds.
+    """
+
+    heartbeat_ms: PositiveInt = 500
+    silence_ms: PositiveInt = 2_000
+
+
 class Settings(StrictModel):
     """All settings of one instance.
 
@@ -165,6 +177,7 @@
         retries: How failed attempts are repeated.
         waits: Longest waits inside the system.
         replication: Times of the replicated logs.
+        links: Times of the links between instances.
         statsd: Where metrics go; nothing is sent without it.
     """
 
@@ -187,6 +200,7 @@
     retries: Retries = Retries()
     waits: Waits = Waits()
     replication: Replication = Replication()
+    links: Links = Links()
     statsd: Statsd | None = None
 
     @pydantic.model_validator(mode='after')
--- a/src/acaciaramp/storage/store.py
+++ b/src/acaciaramp/storage/store.py
@@ -48,6 +48,7 @@
     """Vote and entries in a journal, the snapshot in a file of its own.
 
     Attributes:
+        folder: Where the files live.
         incarnation: Stays the same for as long as the folder lasts.
     """
 
@@ -62,7 +63,7 @@
             DamagedError: A file is damaged.
         """
         folder.mkdir(parents=True, exist_ok=True)
-        self._folder = folder
+        self.folder = folder
         self.incarnation = self._read_incarnation()
         self._vote = Vote()
         self._stored = self._read()
@@ -128,7 +129,7 @@
         return [*entries[: first - base - 1], *kept]
 
     def _read_incarnation(self) -> str:
-        path = self._folder / 'incarnation'
+        path = self.folder / 'incarnation'
         known = read_file(path)
         if known is None:
             known = secrets.token_hex(_INCARNATION_BYTES).encode()
@@ -137,8 +138,8 @@
 
     @property
     def _journal_path(self) -> pathlib.Path:
-        return self._folder / 'journal'
+        return self.folder / 'journal'
 
     @property
     def _snapshot_path(self) -> pathlib.Path:
-        return self._folder / 'snapshot'
+        return self.folder / 'snapshot'
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import json
 import tempfile
 from typing import TYPE_CHECKING, Any
@@ -23,8 +24,11 @@
 from acaciaramp.fakes.instances import FakeInstances
 from acaciaramp.fakes.service import FakeService
 from acaciaramp.ids import InstanceId
+from acaciaramp.peering.server import Address
 from acaciaramp.util.webserver import open_port, serving
 from tests import builders as build
+from tests.relay import Network
+from tests.traps import Traps
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -32,6 +36,7 @@
 _PORT = 7000
 _INNER_PORT = 7100
 _OPERATORS_PORT = 7200
+_NETWORK_PORT = 7300
 _LOAN_MS = 300
 _FILL_MS = 1_000
 
@@ -47,6 +52,7 @@
         document: Members of the document that differ from the builder's.
         settings: Members of the settings that differ from the builder's.
         has_disks: Whether instances keep their state on disk.
+        has_network: Whether a network that can be cut lies between instances.
         clock: The clock of all processes.
     """
 
@@ -56,6 +62,7 @@
     document: dict[str, Any] = dataclasses.field(default_factory=dict)
     settings: dict[str, Any] = dataclasses.field(default_factory=dict)
     has_disks: bool = False
+    has_network: bool = False
     clock: Clock = dataclasses.field(default_factory=SystemClock)
 
 
@@ -95,6 +102,9 @@
         apps: The instances by number, from 1.
         stops: Set to stop an instance, by number.
         stopped: Set when an instance has stopped, by number.
+        ends: Why an instance ended by itself, by number.
+        network: What lies between the instances.
+        traps: Told of the points that calls reach.
     """
 
     def __init__(self, plan: Plan) -> None:
@@ -108,6 +118,9 @@
         self.stops: dict[int, anyio.Event] = {}
         self.stopped: dict[int, anyio.Event] = {}
         self.listing = FakeInstances([], 0, plan.clock)
+        self.ends: dict[int, BaseException] = {}
+        self.network = Network()
+        self.traps = Traps()
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._disks = tempfile.TemporaryDirectory()
@@ -126,6 +139,7 @@
             tree = {**tree, **self.plan.document}
             self._document = Document.model_validate(tree)
             self._tasks = tasks
+            await self._start_network(tasks)
             for number in range(1, self.plan.instances + 1):
                 self._begin_instance(number)
             for app in self.apps.values():
@@ -223,7 +237,7 @@
     async def _serve(
         self, stack: contextlib.AsyncExitStack, name: str, app: Any
     ) -> str:
-        faulty = FaultyApp(app, self.plan.clock, drop)
+        faulty = FaultyApp(self.traps.around(app), self.plan.clock, drop)
         self.faults[name] = faulty
         sock = open_port(self.host, 0)
         await stack.enter_async_context(
@@ -267,15 +281,37 @@
                 'instance': f'entry-{peer}',
                 'availability_zone': zone_of(peer),
                 'host': self.host,
-                'port': _INNER_PORT + peer,
+                'port': self._inner_port(number, peer),
             }
             for peer in range(1, self.plan.instances + 1)
             if peer != number
         ]
 
+    def _inner_port(self, sender: int, receiver: int) -> int:
+        if self.plan.has_network:
+            return _NETWORK_PORT + 10 * sender + receiver
+        return _INNER_PORT + receiver
+
+    async def _start_network(self, tasks: anyio.abc.TaskGroup) -> None:
+        if not self.plan.has_network:
+            return
+        numbers = range(1, self.plan.instances + 1)
+        for sender, receiver in itertools.permutations(numbers, 2):
+            await tasks.start(
+                self.network.serve,
+                sender,
+                receiver,
+                Address(self.host, self._inner_port(sender, receiver)),
+                Address(self.host, _INNER_PORT + receiver),
+            )
+
+    def kill_now(self, number: int) -> None:
+        """Begin to end an instance at once; it does nothing more."""
+        self._scopes[number].cancel()
+
     async def kill(self, number: int) -> None:
         """End an instance at once, without a word to anybody."""
-        self._scopes[number].cancel()
+        self.kill_now(number)
         await self.stopped[number].wait()
 
     async def restart(self, number: int) -> None:
@@ -311,5 +347,8 @@
         try:
             with self._scopes[number]:
                 await self.apps[number].run(self.stops[number])
+        except* OSError as exc:
+            # The daemon would end with an error.
+            self.ends[number] = exc
         finally:
             self.stopped[number].set()
--- a/tests/replication/test_rules.py
+++ b/tests/replication/test_rules.py
@@ -12,7 +12,11 @@
 from acaciaramp.clock import ManualClock
 from acaciaramp.ids import InstanceId
 from acaciaramp.replication import messages as msgs
-from acaciaramp.replication.errors import NotLeaderError, PeerError
+from acaciaramp.replication.errors import (
+    LeadershipLostError,
+    NotLeaderError,
+    PeerError,
+)
 from acaciaramp.replication.following import Following
 from acaciaramp.replication.members import Member, Members
 from acaciaramp.replication.progress import Peer, Progress
@@ -178,6 +182,35 @@
     anyio.run(scenario)
 
 
+def test_proposal_does_not_outlive_a_leader_that_is_stopped() -> None:
+    async def scenario() -> None:
+        async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+            if isinstance(req, msgs.VoteRequest):
+                term = req.term - req.is_pre_vote
+                return msgs.VoteReply(term, Member(target, '0'), True)
+            await anyio.sleep_forever()
+            raise PeerError('unreachable')
+
+        async def propose() -> None:
+            with anyio.CancelScope(shield=True):
+                with pytest.raises(LeadershipLostError):
+                    await replica.propose(b'x')
+
+        clock = ManualClock()
+        replica = new_replica(send, clock)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(replica.run)
+            await anyio.wait_all_tasks_blocked()
+            clock.advance(2_500)
+            await anyio.wait_all_tasks_blocked()
+            assert replica.role is Role.LEADER
+            tasks.start_soon(propose)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
 async def _unreachable(target: InstanceId, req: msgs.Request) -> msgs.Reply:
     raise PeerError('unreachable')
 
