Secure the links between instances with mutual TLS

What was missing: anybody who reached an instance's inner port could act as an instance. Links now need certificates of one authority in both directions (TLS 1.3, the certificate must be for the inner IP address), or settings that say plain. Files that change are read before the next connection; damaged ones are logged and the old ones stay in use.

Found by the test of strangers: a client that rejected the server's certificate left its connection open, so that the server never saw the attempt; it is closed now. Not measured: what TLS costs a call.

--- a/features/steps/givens.py
+++ b/features/steps/givens.py
@@ -48,6 +48,12 @@
     context.plan.document['workspaces'] = [limited]
 
 
+@given('links with certificates')
+def plan_keys(context: Any) -> None:
+    """Secure the links between instances."""
+    context.plan.has_keys = True
+
+
 @given('loans last {duration:d} ms')
 def plan_loans(context: Any, duration: int) -> None:
     """Choose how long loans of rate and burst last."""
--- a/features/steps/matrix.py
+++ b/features/steps/matrix.py
@@ -38,7 +38,7 @@
     context.plan.has_disks = True
     context.plan.settings |= {
         'waits': {'peer_ms': 500},
-        'links': {'heartbeat_ms': 50, 'silence_ms': 300},
+        'links': {'heartbeat_ms': 50, 'silence_ms': 300, 'plain': True},
     }
     context.told = []
 
--- a/src/acaciaramp/application.py
+++ b/src/acaciaramp/application.py
@@ -12,6 +12,7 @@
     build_dispatcher,
     build_host,
     locations_of,
+    security_of,
     timing_of,
 )
 from acaciaramp.cells.router import Router
@@ -78,6 +79,7 @@
         self.ready = anyio.Event()
         self._settings = settings
         self._clock = clock
+        self._security = security_of(settings)
         self._registry = Registry(document)
         self._http = HttpClient(self._clock)
         self._engine = EngineClient(self._http, clock, self.metrics)
@@ -152,7 +154,12 @@
         }
         inner = _address_of(self._settings.inner)
         await tasks.start(
-            serve_peers, inner, handlers, self._clock, self.metrics
+            serve_peers,
+            inner,
+            handlers,
+            self._clock,
+            self.metrics,
+            self._security,
         )
         tasks.start_soon(self.leaving.run)
         tasks.start_soon(self.releases.run)
@@ -277,6 +284,7 @@
                 self._clock,
                 self.metrics,
                 timing,
+                self._security,
             )
             for peer in self._settings.peers
         }
--- a/src/acaciaramp/assembly.py
+++ b/src/acaciaramp/assembly.py
@@ -10,6 +10,7 @@
 from acaciaramp.endpoints.plain import PlainClient
 from acaciaramp.endpoints.sending import make_sender
 from acaciaramp.ids import AvailabilityZone, InstanceId
+from acaciaramp.peering.security import Files, Security
 from acaciaramp.programs.dispatch import Dispatcher
 from acaciaramp.programs.home import Home
 from acaciaramp.replication.timing import Timing
@@ -112,6 +113,18 @@
     )
 
 
+def security_of(settings: Settings) -> Security | None:
+    """Return the certificates of an instance's links, if it has any.
+
+    Raises:
+        SecurityError: The files cannot be used.
+    """
+    tls = settings.links.tls
+    if tls is None:
+        return None
+    return Security(Files(tls.certificate, tls.key, tls.authority))
+
+
 def locations_of(settings: Settings) -> list[Location]:
     """Return where every instance of the deployment runs."""
     own = Location(
--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -27,8 +27,11 @@
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+
     from acaciaramp.clock import Clock
     from acaciaramp.metrics.client import Metrics
+    from acaciaramp.peering.security import Security
     from acaciaramp.peering.server import Address
 
 logger = get_logger('peering')
@@ -74,6 +77,7 @@
         clock: Clock,
         metrics: Metrics,
         timing: LinkTiming = DEFAULT_TIMING,
+        security: Security | None = None,
     ) -> None:
         """Create the link; ``run`` keeps it connected.
 
@@ -83,11 +87,13 @@
             clock: Measures silence.
             metrics: Counts opened and lost links.
             timing: Heartbeats and silence.
+            security: Certificates; None for plain connections.
         """
         self._instance = instance
         self._address = address
         self._clock = clock
         self._timing = timing
+        self._security = security
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Pending] = {}
@@ -143,7 +149,7 @@
     async def _connect_once(self) -> bool:
         try:
             with self._clock.timeout(self._timing.silence_ms):
-                stream = await anyio.connect_tcp(*self._address)
+                stream = await self._open_stream()
         except _BROKEN:
             return False
         frames = FrameStream(stream)
@@ -161,6 +167,16 @@
             await frames.aclose()
         return was_heard
 
+    async def _open_stream(self) -> ByteStream:
+        plain = await anyio.connect_tcp(*self._address)
+        if self._security is None:
+            return plain
+        try:
+            return await self._security.connect(plain, self._address.host)
+        except BaseException:
+            await anyio.aclose_forcefully(plain)
+            raise
+
     async def _exchange_heartbeat(self, frames: FrameStream) -> None:
         with self._clock.timeout(self._timing.silence_ms):
             await frames.send(_HEARTBEAT)
--- a/src/acaciaramp/peering/server.py
+++ b/src/acaciaramp/peering/server.py
@@ -32,6 +32,7 @@
 
     from acaciaramp.clock import Clock
     from acaciaramp.metrics.client import Metrics
+    from acaciaramp.peering.security import Security
 
 logger = get_logger('peering')
 
@@ -57,6 +58,7 @@
     handlers: Handlers,
     clock: Clock,
     metrics: Metrics,
+    security: Security | None = None,
     *,
     task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -69,7 +71,8 @@
         address: Where to listen.
         handlers: Carries out the requests of each channel.
         clock: Measures silence.
-        metrics: Counts rejected frames.
+        metrics: Counts rejected frames and connections.
+        security: Certificates; None for plain connections.
         task_status: Told when the port is open.
     """
     listener = await anyio.create_tcp_listener(
@@ -78,7 +81,32 @@
     async with listener, anyio.create_task_group() as tasks:
         task_status.started()
         serve = functools.partial(_serve, handlers, clock, metrics, tasks)
-        await listener.serve(serve)
+
+        async def accept(plain: ByteStream) -> None:
+            stream = await _secured(plain, clock, metrics, security)
+            if stream is not None:
+                await serve(stream)
+
+        await listener.serve(accept)
+
+
+async def _secured(
+    plain: ByteStream,
+    clock: Clock,
+    metrics: Metrics,
+    security: Security | None,
+) -> ByteStream | None:
+    """Return the secured connection, None if the other one is a stranger."""
+    if security is None:
+        return plain
+    try:
+        with clock.timeout(IDLE_MS):
+            return await security.accept(plain)
+    except BROKEN_CONNECTION as exc:
+        metrics.count(Counter.LINK_REJECTED)
+        logger.warning('A connection was rejected.', reason=exc)
+        await anyio.aclose_forcefully(plain)
+        return None
 
 
 async def _serve(
--- a/src/acaciaramp/settings/load.py
+++ b/src/acaciaramp/settings/load.py
@@ -5,7 +5,7 @@
 import pathlib
 
 from acaciaramp.errors import AcaciarampError
-from acaciaramp.settings.model import Settings
+from acaciaramp.settings.model import Settings, Tls
 from acaciaramp.util.checked import check
 
 
@@ -27,7 +27,14 @@
     changes = {'document': str(folder / settings.document)}
     if settings.data_folder is not None:
         changes['data_folder'] = str(folder / settings.data_folder)
-    return settings.model_copy(update=changes)
+    links = settings.links
+    if links.tls is not None:
+        tls = {
+            name: str(folder / value)
+            for name, value in links.tls.model_dump().items()
+        }
+        links = links.model_copy(update={'tls': Tls(**tls)})
+    return settings.model_copy(update={**changes, 'links': links})
 
 
 def read_text(path: str) -> str:
--- a/src/acaciaramp/settings/model.py
+++ b/src/acaciaramp/settings/model.py
@@ -139,16 +139,34 @@
     compact_entries: PositiveInt = 2_000
 
 
+class Tls(StrictModel):
+    """Files of the keys for links between instances, in PEM format.
+
+    Attributes:
+        certificate: This instance's certificate, for its inner IP address.
+        key: Its private key.
+        authority: Certificate of the authority of all instances.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+
+
 class Links(StrictModel):
     """Times of the links between instances.
 
     Attributes:
         heartbeat_ms: Between two heartbeats, milliseconds.
         silence_ms: Silence after which a link is made anew, milliseconds.
+        tls: Certificates for mutual TLS.
+        plain: Whether links may be plain TCP without keys.
     """
 
     heartbeat_ms: PositiveInt = 500
     silence_ms: PositiveInt = 2_000
+    tls: Tls | None = None
+    plain: bool = False
 
 
 class Settings(StrictModel):
@@ -210,4 +228,8 @@
             raise ValueError('two instances have one id')
         if (self.operators is None) != (self.operator_key is None):
             raise ValueError('operators and operator_key go together')
+        if self.peers and self.links.plain == (self.links.tls is not None):
+            raise ValueError(
+                'links need either "tls", or "plain": true for no keys'
+            )
         return self
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,7 +4,7 @@
 
 import itertools
 import os
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from acaciaramp.documents.model import Document
 from acaciaramp.documents.registry import Registry, key_hash
@@ -15,6 +15,7 @@
     StepNumber,
     WorkspaceId,
 )
+from acaciaramp.peering.security import Files
 from acaciaramp.programs import commands as cmds
 from acaciaramp.records import (
     Answer,
@@ -25,6 +26,11 @@
 )
 from acaciaramp.settings.model import Settings
 
+if TYPE_CHECKING:
+    import pathlib
+
+    import trustme
+
 PROGRAM = ProgramId('p.entry-1.a')
 WORKSPACE = WorkspaceId('medina')
 MODEL = ServiceName('conseil-lm')
@@ -196,3 +202,14 @@
         'document': 'none',
     }
     return Settings.model_validate({**members, **changes})
+
+
+def issue(folder: pathlib.Path, authority: trustme.CA, host: str) -> Files:
+    """Write the files of an instance and return their names."""
+    folder.mkdir(exist_ok=True)
+    files = Files(*(str(folder / name) for name in ('cert', 'key', 'ca')))
+    issued = authority.issue_cert(host)
+    issued.cert_chain_pems[0].write_to_path(files.certificate)
+    issued.private_key_pem.write_to_path(files.key)
+    authority.cert_pem.write_to_path(files.authority)
+    return files
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -6,11 +6,14 @@
 import dataclasses
 import itertools
 import json
+import pathlib
 import tempfile
+import types
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import httpcore
+import trustme
 from anyio import lowlevel
 
 from acaciaramp.application import Application
@@ -37,7 +40,7 @@
 _INNER_PORT = 7100
 _OPERATORS_PORT = 7200
 _NETWORK_PORT = 7300
-_LOAN_MS = 300
+_QUICK = types.MappingProxyType({'loan_ms': 300, 'links': {'plain': True}})
 _FILL_MS = 1_000
 
 
@@ -52,6 +55,7 @@
         document: Members of the document that differ from the builder's.
         settings: Members of the settings that differ from the builder's.
         has_disks: Whether instances keep their state on disk.
+        has_keys: Whether links between instances are secured.
         has_network: Whether a network that can be cut lies between instances.
         clock: The clock of all processes.
     """
@@ -62,6 +66,7 @@
     document: dict[str, Any] = dataclasses.field(default_factory=dict)
     settings: dict[str, Any] = dataclasses.field(default_factory=dict)
     has_disks: bool = False
+    has_keys: bool = False
     has_network: bool = False
     clock: Clock = dataclasses.field(default_factory=SystemClock)
 
@@ -124,6 +129,7 @@
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._disks = tempfile.TemporaryDirectory()
+        self._authority = trustme.CA()
         self._listing = ''
         self._document = build.document()
 
@@ -261,7 +267,7 @@
             data_folder=self._folder_of(number),
             replication={'heartbeat_ms': 40, 'election_ms': 250},
             instance_list=f'{self._listing}/instances',
-            **{'loan_ms': _LOAN_MS, **self.plan.settings},
+            **{**_QUICK, **self._links_of(number), **self.plan.settings},
         )
         app = Application(settings, self._document, self.plan.clock)
         self.apps[number] = app
@@ -287,6 +293,13 @@
             if peer != number
         ]
 
+    def _links_of(self, number: int) -> dict[str, Any]:
+        if not self.plan.has_keys:
+            return {}
+        folder = pathlib.Path(self._disks.name) / f'keys-{number}'
+        files = build.issue(folder, self._authority, self.host)
+        return {'links': {'tls': files._asdict()}}
+
     def _inner_port(self, sender: int, receiver: int) -> int:
         if self.plan.has_network:
             return _NETWORK_PORT + 10 * sender + receiver
--- /dev/null
+++ b/tests/peering/test_security.py
@@ -0,0 +1,123 @@
+"""Links with certificates: strangers, other authorities, changed files."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+import trustme
+
+from acaciaramp.clock import SystemClock
+from acaciaramp.errors import CallError
+from acaciaramp.metrics.client import Metrics
+from acaciaramp.peering.link import Link
+from acaciaramp.peering.messages import Channel
+from acaciaramp.peering.security import Security, SecurityError
+from acaciaramp.peering.server import Address, serve_peers
+from tests import builders as build
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_WAIT_MS = 5_000
+_SHORT_MS = 500
+
+
+async def between(
+    server: Security | None,
+    client: Security | None,
+    host: str,
+    work: Callable[[Link], Awaitable[None]],
+) -> Metrics:
+    """Run ``work`` on a link to a server; return the server's counters."""
+    address = Address(host, 7000)
+    metrics = Metrics()
+    clock = SystemClock()
+    link = Link('entry-2', address, clock, Metrics(), security=client)
+
+    async def echo(body: bytes) -> bytes:
+        return body
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(
+            serve_peers,
+            address,
+            {Channel.PROGRAMS: echo},
+            clock,
+            metrics,
+            server,
+        )
+        tasks.start_soon(link.run)
+        await work(link)
+        tasks.cancel_scope.cancel()
+    return metrics
+
+
+async def ask(link: Link) -> None:
+    assert await link.request(Channel.PROGRAMS, b'x', _WAIT_MS) == b'x'
+
+
+async def ask_in_vain(link: Link) -> None:
+    with pytest.raises(CallError):
+        await link.request(Channel.PROGRAMS, b'x', _SHORT_MS)
+
+
+def test_instances_of_one_authority_understand_each_other(
+    tmp_path: pathlib.Path,
+) -> None:
+    host = build.loopback_host()
+    authority = trustme.CA()
+    one = Security(build.issue(tmp_path / 'one', authority, host))
+    two = Security(build.issue(tmp_path / 'two', authority, host))
+    metrics = anyio.run(between, one, two, host, ask)
+    assert metrics.counts['link.rejected'] == 0
+
+
+@pytest.mark.parametrize('has_certificate', [True, False])
+def test_strangers_are_rejected(
+    tmp_path: pathlib.Path, has_certificate: bool
+) -> None:
+    host = build.loopback_host()
+    own = Security(build.issue(tmp_path / 'one', trustme.CA(), host))
+    other = None
+    if has_certificate:
+        other = Security(build.issue(tmp_path / 'two', trustme.CA(), host))
+    metrics = anyio.run(between, own, other, host, ask_in_vain)
+    assert metrics.counts['link.rejected'] > 0
+
+
+def test_certificate_must_be_for_the_address(tmp_path: pathlib.Path) -> None:
+    host = build.loopback_host()
+    authority = trustme.CA()
+    server = Security(build.issue(tmp_path / 'one', authority, '127.9.9.9'))
+    client = Security(build.issue(tmp_path / 'two', authority, host))
+    anyio.run(between, server, client, host, ask_in_vain)
+
+
+def test_changed_files_are_used_for_new_connections(
+    tmp_path: pathlib.Path,
+) -> None:
+    host = build.loopback_host()
+    old, new = trustme.CA(), trustme.CA()
+    one = Security(build.issue(tmp_path / 'one', old, host))
+    two = Security(build.issue(tmp_path / 'two', old, host))
+    build.issue(tmp_path / 'one', new, host)
+    anyio.run(between, one, two, host, ask_in_vain)
+    build.issue(tmp_path / 'two', new, host)
+    anyio.run(between, one, two, host, ask)
+
+
+def test_damaged_files_leave_the_old_ones_in_use(
+    tmp_path: pathlib.Path,
+) -> None:
+    host = build.loopback_host()
+    authority = trustme.CA()
+    files = build.issue(tmp_path / 'one', authority, host)
+    one = Security(files)
+    two = Security(build.issue(tmp_path / 'two', authority, host))
+    pathlib.Path(files.certificate).write_text('damaged', encoding='utf-8')
+    anyio.run(between, one, two, host, ask)
+    with pytest.raises(SecurityError):
+        Security(files)
