Ask another replica over a link in one place

Cause: cells and the control group had the same lines for a link that is not there or refuses. They share ask_over now; a comment was reflowed. Tests: unit tests pass as before; no behaviour changed.

--- a/src/acaciaramp/cells/host.py
+++ b/src/acaciaramp/cells/host.py
@@ -23,6 +23,7 @@
 from acaciaramp.peering.messages import Channel
 from acaciaramp.replication.errors import PeerError
 from acaciaramp.replication.members import Member, Members
+from acaciaramp.replication.requests import ask_over
 from acaciaramp.replication.store import MemoryStore
 from acaciaramp.storage.store import DiskStore
 from acaciaramp.util.logs import get_logger
@@ -222,11 +223,7 @@
     async def _exchange(
         self, target: InstanceId, req: CellRequest
     ) -> CellReply:
-        link = self._links.get(target)
-        if link is None or not link.is_connected:
-            raise PeerError(f'{target} cannot be reached')
-        try:
-            wire = await link.request(Channel.CELLS, _encode(req), _ANSWER_MS)
-        except CallError as exc:
-            raise PeerError(str(exc)) from None
+        wire = await ask_over(
+            self._links, target, Channel.CELLS, _encode(req), _ANSWER_MS
+        )
         return _reply_decoder.decode(wire)
--- a/src/acaciaramp/control/wire.py
+++ b/src/acaciaramp/control/wire.py
@@ -9,7 +9,7 @@
 from acaciaramp.control import messages as ctl
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.peering.messages import Channel
-from acaciaramp.replication.errors import PeerError
+from acaciaramp.replication.requests import ask_over
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -32,13 +32,9 @@
     """
 
     async def exchange(target: InstanceId, req: ctl.Request) -> ctl.Reply:
-        link = links.get(target)
-        if link is None or not link.is_connected:
-            raise PeerError(f'{target} cannot be reached')
-        try:
-            wire = await link.request(Channel.CONTROL, _encode(req), _ANSWER_MS)
-        except CallError as exc:
-            raise PeerError(str(exc)) from None
+        wire = await ask_over(
+            links, target, Channel.CONTROL, _encode(req), _ANSWER_MS
+        )
         return _reply_decoder.decode(wire)
 
     return exchange
--- a/src/acaciaramp/limits/share.py
+++ b/src/acaciaramp/limits/share.py
@@ -98,8 +98,8 @@
 
         What was borrowed is passed on for the rest of its time, so that a
         load that moves does not wait for loans to run out. Nothing is lent
-        while requests wait here. Fractions of a token that lie on several instances would
-        serve nobody, so one of two gives way.
+        while requests wait here. Fractions of a token that lie on several
+        instances would serve nobody, so one of two gives way.
 
         Args:
             duration_ms: How long the loan lasts, milliseconds.
