Let a deposed leader stand again at once; heed a leader heard in a pre-vote

Ruled out: a lost lease or a slow disk (all three replicas answered). Mend: who hears a leader during its pre-vote does not stand; a leader that was deposed while nobody leads stands at once with a pre-vote, and voters grant it to the leader that they follow. Terms and logs are compared as before.

--- a/src/acaciaramp/replication/election.py
+++ b/src/acaciaramp/replication/election.py
@@ -41,6 +41,12 @@
         """Stand without waiting for the leader to fall silent."""
         self._stand_now.set()
 
+    def skip_wait(self) -> None:
+        """Stand for election without waiting, but only with a pre-vote."""
+        state = self._state
+        longest_ms = 2 * state.timing.election_ms
+        state.timer_ms = state.clock.now_ms() - longest_ms
+
     async def wait_for_silence(self) -> None:
         """Return once this replica should stand for election."""
         election_ms = self._state.timing.election_ms
@@ -56,7 +62,7 @@
         state = self._state
         is_handover = self._stand_now.is_set()
         self._stand_now = anyio.Event()
-        if not is_handover and not await self._gather(is_pre_vote=True):
+        if not is_handover and not await self._may_stand():
             return False
         state.role = Role.CANDIDATE
         state.leader = None
@@ -92,6 +98,12 @@
         await state.store.sync()
         return self._reply(is_granted=is_granted and state.term == req.term)
 
+    async def _may_stand(self) -> bool:
+        """Return whether a majority would vote and no leader was heard."""
+        heard_ms = self._state.heard_ms
+        is_wanted = await self._gather(is_pre_vote=True)
+        return is_wanted and self._state.heard_ms == heard_ms
+
     async def _wait_timer(self, limit_ms: int) -> None:
         """Return when the timer has run out or a leader hands over."""
         state = self._state
@@ -155,12 +167,13 @@
             scope.cancel()
 
     def _has_leader(self, req: msgs.VoteRequest) -> bool:
-        """Return whether a leader may be alive, so that no vote is given.
+        """Return whether another leader may be alive, so that no vote is given.
 
-        A replica that has just started may have heard a leader before.
+        A replica that has just started may have heard a leader before. The
+        leader itself may stand again: a failed candidate has deposed it.
         """
         state = self._state
-        if req.is_handover:
+        if req.is_handover or state.leader == req.candidate:
             return False
         if state.leader == state.me.instance:
             return True
--- a/src/acaciaramp/replication/leading.py
+++ b/src/acaciaramp/replication/leading.py
@@ -55,9 +55,14 @@
         is_leader = state.role is Role.LEADER and not self.is_handing_over
         return is_leader and state.commit >= self._first_index
 
-    async def lead(self) -> None:
-        """Lead until leadership is lost."""
+    async def lead(self) -> bool:
+        """Lead until leadership is lost; return whether nobody took it over.
+
+        A candidate that stood too late deposes a leader by its newer term
+        without being elected itself.
+        """
         state = self._state
+        term = state.term
         logger.info(
             'Leadership was won.', instance=state.me.instance, term=state.term
         )
@@ -73,6 +78,8 @@
             if state.role is Role.LEADER:
                 state.step_down(state.term)
         state.timer_ms = state.clock.now_ms()
+        is_deposed = state.term > term and state.leader is None
+        return is_deposed and not self.is_handing_over
 
     async def propose(self, kind: msgs.EntryKind, payload: bytes) -> object:
         """Return what applying a command gave, once it is committed.
--- a/src/acaciaramp/replication/replica.py
+++ b/src/acaciaramp/replication/replica.py
@@ -159,8 +159,10 @@
         """Take part until cancelled."""
         while True:
             await self._election.wait_for_silence()
-            if await self._election.stand():
-                await self._leading.lead()
+            if not await self._election.stand():
+                continue
+            if await self._leading.lead():
+                self._election.skip_wait()
 
     async def wait_change(self) -> None:
         """Return when entries, commit or role have changed."""
--- a/tests/replication/test_rules.py
+++ b/tests/replication/test_rules.py
@@ -269,7 +269,8 @@
         async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
             if isinstance(req, msgs.VoteRequest):
                 term = req.term - req.is_pre_vote
-                return msgs.VoteReply(term, Member(target, '0'), True)
+                is_granted = req.term == 1
+                return msgs.VoteReply(term, Member(target, '0'), is_granted)
             assert isinstance(req, msgs.AppendRequest)
             terms.add(req.term)
             if target == C.instance:
@@ -286,3 +287,75 @@
         return terms
 
     assert anyio.run(scenario) == {1}
+
+
+def test_deposed_leader_stands_again_without_waiting() -> None:
+    async def scenario() -> set[int]:
+        terms = set()
+
+        async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+            if isinstance(req, msgs.VoteRequest):
+                term = req.term - req.is_pre_vote
+                return msgs.VoteReply(term, Member(target, '0'), True)
+            assert isinstance(req, msgs.AppendRequest)
+            terms.add(req.term)
+            # A candidate that nobody elected has a newer term.
+            term = max(req.term, 7)
+            match = req.previous_index + len(req.entries)
+            return msgs.AppendReply(term, Member(target, '0'), True, match)
+
+        clock = ManualClock()
+        replica = new_replica(send, clock)
+        async with anyio.create_task_group() as tasks:
+            # The clock stands still after the first election.
+            await stand(replica, clock, tasks)
+            assert replica.role is Role.LEADER
+            assert replica.term == 8
+            tasks.cancel_scope.cancel()
+        return terms
+
+    assert anyio.run(scenario) == {1, 8}
+
+
+def vote_of(candidate: Member, term: int) -> msgs.VoteRequest:
+    return msgs.VoteRequest(
+        term=term,
+        candidate=candidate.instance,
+        last_index=0,
+        last_term=0,
+        is_pre_vote=True,
+        is_handover=False,
+    )
+
+
+def test_only_the_leader_itself_is_voted_for_while_it_lives() -> None:
+    async def scenario() -> list[bool]:
+        replica = new_replica(_unreachable, ManualClock())
+        await replica.handle(append(1))
+        replies = [
+            await replica.handle(vote_of(candidate, 3)) for candidate in (B, C)
+        ]
+        return [
+            isinstance(reply, msgs.VoteReply) and reply.is_granted
+            for reply in replies
+        ]
+
+    assert anyio.run(scenario) == [True, False]
+
+
+def test_leader_that_is_heard_during_a_pre_vote_is_not_deposed() -> None:
+    async def scenario() -> int:
+        async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+            assert isinstance(req, msgs.VoteRequest)
+            assert req.is_pre_vote
+            await replica.handle(append(1))
+            return msgs.VoteReply(1, Member(target, '0'), True)
+
+        clock = ManualClock()
+        replica = new_replica(send, clock)
+        async with anyio.create_task_group() as tasks:
+            await stand(replica, clock, tasks)
+            tasks.cancel_scope.cancel()
+        return replica.term
+
+    assert anyio.run(scenario) == 1
