Reserve no tokens for turns that have ended; settle before a stop; find leaders sooner

Cause, by reading: a beginning of a turn that was held up on its way to the ledger could be committed after the turn had been given back, and then counted at its most for good; a stop ended entries before refused turns were settled; turns that could not be settled within 8 s counted at their most. Each makes the ledger refuse turns (402) for which there is room. Mend: an ended turn is remembered for a minute; entries wait for what is left to settle within the grace time, and go on settling for 15 s.

--- a/src/acaciaramp/application.py
+++ b/src/acaciaramp/application.py
@@ -276,7 +276,9 @@
 
     def _links(self) -> dict[InstanceId, Link]:
         times = self._settings.links
-        timing = LinkTiming(times.heartbeat_ms, times.silence_ms)
+        timing = LinkTiming(
+            times.heartbeat_ms, times.silence_ms, times.silence_ms
+        )
         return {
             InstanceId(peer.instance): Link(
                 peer.instance,
--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -24,6 +24,9 @@
 
 # Callers may come back to a stopped program for as long as turns are kept.
 ACCOUNT_KEPT_MS = 180_000
+# Longer than an entry goes on asking; a turn that ended must not be reserved
+# by a copy of its beginning that was held up on its way.
+ENDED_KEPT_MS = 60_000
 _SWEEP_COMMANDS = 256
 _command_decoder = msgspec.msgpack.Decoder(LedgerCommand)
 _encode = msgspec.msgpack.Encoder().encode
@@ -54,6 +57,7 @@
     now_ms: int
     turns: list[tuple[WorkspaceId, str, KeptTurn]]
     accounts: list[tuple[WorkspaceId, ProgramId, Account]]
+    ended: list[tuple[TurnKey, int]] = []
 
 
 _state_decoder = msgspec.msgpack.Decoder(_State)
@@ -66,6 +70,7 @@
         """Create an empty ledger."""
         self._turns: dict[TurnKey, KeptTurn] = {}
         self._accounts: dict[tuple[WorkspaceId, ProgramId], Account] = {}
+        self._ended: dict[TurnKey, int] = {}
         self._now_ms = 0
         self._commands = 0
 
@@ -88,12 +93,14 @@
             for key, turn in self._turns.items()
         ]
         accounts = [(*key, account) for key, account in self._accounts.items()]
-        return _encode(_State(self._now_ms, turns, accounts))
+        ended = list(self._ended.items())
+        return _encode(_State(self._now_ms, turns, accounts, ended))
 
     def restore(self, state: bytes) -> None:
         """Replace the state by an encoded one; empty bytes empty it."""
         self._turns = {}
         self._accounts = {}
+        self._ended = {}
         self._now_ms = 0
         if not state:
             return
@@ -103,6 +110,7 @@
             self._turns[TurnKey(workspace, attempt)] = turn
         for owner, program, account in stored.accounts:
             self._accounts[owner, program] = account
+        self._ended = dict(stored.ended)
 
     def chain_of(self, key: TurnKey) -> bytes | None:
         """Return the contents of a turn and all before it, oldest first.
@@ -133,6 +141,8 @@
     def _reserve(
         self, key: TurnKey, wanted: Reservation, chain: bytes
     ) -> OpenReply:
+        if key in self._ended:
+            return OpenReply(OpenOutcome.ENDED)
         is_new = (key.workspace, wanted.program) not in self._accounts
         account = self.account(key, wanted.program)
         account.touched_ms = self._now_ms
@@ -149,6 +159,7 @@
         if command.program is not None:
             account = self.account(key, command.program)
             account.touched_ms = self._now_ms
+            self._ended[key] = self._now_ms
             if account.reserved.pop(key.attempt, None) is not None:
                 account.settled += command.tokens
         if command.kept is not None:
@@ -179,6 +190,10 @@
             for key, turn in self._turns.items()
             if turn.until_ms >= self._now_ms or key in continued
         }
+        last_ms = self._now_ms - ENDED_KEPT_MS
+        self._ended = {
+            key: at_ms for key, at_ms in self._ended.items() if at_ms >= last_ms
+        }
         oldest_ms = self._now_ms - ACCOUNT_KEPT_MS
         self._accounts = {
             key: account
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -96,11 +96,13 @@
         OPENED: It may be sent.
         EXHAUSTED: The budget does not hold its most tokens.
         UNKNOWN_TURN: The workspace has no such turn to continue.
+        ENDED: It has ended before; this beginning of it comes too late.
     """
 
     OPENED = 'opened'
     EXHAUSTED = 'exhausted'
     UNKNOWN_TURN = 'unknown_turn'
+    ENDED = 'ended'
 
 
 class OpenReply(msgspec.Struct, frozen=True, tag=True):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -28,8 +28,8 @@
 logger = get_logger('conversations')
 
 # A turn that ended is settled in the background; the ledger has a new leader
-# well within this time.
-_SETTLE_WAIT_MS = 8_000
+# well within this time, also after a loss of power of all instances.
+_SETTLE_WAIT_MS = 15_000
 # A new leader is elected within about a second.
 _RETRY_AFTER_MS = 500
 
@@ -118,6 +118,12 @@
         self._cache = cache
         self._clock = clock
         self._tasks = tasks
+        self._unsettled = 0
+
+    @property
+    def unsettled(self) -> int:
+        """Turns that have ended and are not settled yet."""
+        return self._unsettled
 
     async def open(self, plan: TurnPlan, wait_ms: int) -> OpenedTurn:
         """Reserve a turn's tokens and find what it continues.
@@ -163,6 +169,11 @@
             raise CallError(
                 ErrorCode.UNKNOWN_STEP, f'there is no turn "{plan.previous}"'
             )
+        if reply.outcome is OpenOutcome.ENDED:
+            raise CallError(
+                ErrorCode.BAD_REQUEST,
+                f'a request "{plan.key.attempt}" has ended before',
+            )
         chain = reply.chain if known is None else known
         return OpenedTurn(plan, chain, is_new=reply.is_new)
 
@@ -202,6 +213,7 @@
             tokens=tokens,
             at_ms=self._clock.wall_ms(),
         )
+        self._unsettled += 1
         self._tasks.start_soon(self._settle, req)
 
     def give_back(self, plan: TurnPlan) -> None:
@@ -219,6 +231,8 @@
                 tokens=req.tokens,
                 reason=exc,
             )
+        finally:
+            self._unsettled -= 1
 
     def _known_chain(self, plan: TurnPlan) -> bytes | None:
         if plan.previous is None:
--- a/src/acaciaramp/coordination/follower.py
+++ b/src/acaciaramp/coordination/follower.py
@@ -36,6 +36,8 @@
 # One try at one control instance; longer than a way and a sync.
 _TRY_MS = 700
 _RETRY_MS = 100
+# Before the leader is asked that another instance has named.
+_HINT_MS = 10
 
 
 class Follower:
@@ -92,10 +94,9 @@
             )
             target = self._next_target()
             try:
-                reply = await self._ask_one(target, req, _ANSWER_MS)
+                reply = await self._ask_one(target, req, self._patience(target))
             except CallError as exc:
-                self._leave(target, exc)
-                await self._clock.sleep_ms(_RETRY_MS)
+                await self._clock.sleep_ms(self._leave(target, exc))
                 continue
             if isinstance(reply, FollowReply):
                 self._take(target, reply)
@@ -122,8 +123,7 @@
                 reply = await self._ask_one(target, req, min(_TRY_MS, left_ms))
             except CallError as exc:
                 failure = exc
-                self._leave(target, exc)
-                await self._clock.sleep_ms(_RETRY_MS)
+                await self._clock.sleep_ms(self._leave(target, exc))
                 continue
             if isinstance(reply, kind):
                 self._leader = target
@@ -149,16 +149,26 @@
         known = [*self.view.controls, *self._seeds()]
         return known[next(self._turn) % len(known)]
 
-    def _leave(self, target: InstanceId, exc: CallError) -> None:
-        """Choose whom to ask after one that gave no answer."""
+    def _patience(self, target: InstanceId) -> int:
+        """Return how long a report may take, milliseconds."""
+        return _ANSWER_MS if self._links.to(target).is_connected else _TRY_MS
+
+    def _leave(self, target: InstanceId, exc: CallError) -> int:
+        """Choose whom to ask after one that gave no answer.
+
+        Returns:
+            The pause before that, milliseconds.
+        """
         hint = exc.refusal.leader
         if self._leader == target:
             logger.warning(
                 'The control leader is lost.', instance=target, reason=exc
             )
         self._leader = None
-        if hint and hint != target:
-            self._leader = InstanceId(hint)
+        if not hint or hint == target:
+            return _RETRY_MS
+        self._leader = InstanceId(hint)
+        return _HINT_MS
 
     def _take(self, target: InstanceId, reply: FollowReply) -> None:
         if self._leader != target:
--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -61,6 +61,9 @@
 # How long a report waits for news; the time in which instances count as gone
 # has room for several reports.
 HOLD_MS = 500
+# How long a report waits for an election before it is turned away; an election
+# takes less once most instances run.
+_ELECTION_MS = 400
 _PERIOD_MS = 200
 # Twice within the shortest time after which a leaving endpoint must be known.
 _READ_PERIOD_MS = 700
@@ -172,6 +175,8 @@
                 raise CallError(ErrorCode.BAD_REQUEST, 'no leader answers it')
 
     async def _follow(self, req: FollowRequest) -> FollowReply:
+        await self._await_leader()
+        self._note_leadership()
         if self._group.replica.is_ready and self._directory.take(req):
             logger.info(
                 'An instance has joined.',
@@ -189,6 +194,17 @@
         self._require_lead()
         return self._news(req)
 
+    async def _await_leader(self) -> None:
+        """Wait a bounded time while an election is under way."""
+        replica = self._group.replica
+        undecided = {None, self._group.me.instance}
+        try:
+            with self._clock.timeout(_ELECTION_MS):
+                while replica.leader in undecided and not replica.is_ready:
+                    await replica.wait_change()
+        except TimeoutError:
+            return
+
     async def _await_news(self, req: FollowRequest) -> None:
         until_ms = self._clock.now_ms() + HOLD_MS
         while not self._has_news(req):
--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -36,9 +36,6 @@
 
 logger = get_logger('peering')
 
-_RECONNECT_MS = 100
-_RECONNECT_LONGEST_MS = 1_000
-
 
 class LinkTiming(NamedTuple):
     """Times of a link, milliseconds.
@@ -46,10 +43,16 @@
     Attributes:
         heartbeat_ms: Between two heartbeats.
         silence_ms: Silence after which the connection is closed.
+        connect_ms: Longest time that opening a connection may take.
+        reconnect_ms: Pause before a connection is opened anew; it doubles.
+        longest_reconnect_ms: The longest such pause.
     """
 
     heartbeat_ms: int = 500
     silence_ms: int = 2_000
+    connect_ms: int = 2_000
+    reconnect_ms: int = 100
+    longest_reconnect_ms: int = 1_000
 
 
 DEFAULT_TIMING = LinkTiming()
@@ -139,16 +142,17 @@
 
     async def run(self) -> None:
         """Keep the link connected until cancelled."""
-        pause_ms = _RECONNECT_MS
+        timing = self._timing
+        pause_ms = timing.reconnect_ms
         while True:
             if await self._connect_once():
-                pause_ms = _RECONNECT_MS
+                pause_ms = timing.reconnect_ms
             await self._clock.sleep_ms(pause_ms)
-            pause_ms = min(2 * pause_ms, _RECONNECT_LONGEST_MS)
+            pause_ms = min(2 * pause_ms, timing.longest_reconnect_ms)
 
     async def _connect_once(self) -> bool:
         try:
-            with self._clock.timeout(self._timing.silence_ms):
+            with self._clock.timeout(self._timing.connect_ms):
                 stream = await self._open_stream()
         except _BROKEN:
             return False
--- a/src/acaciaramp/replication/state.py
+++ b/src/acaciaramp/replication/state.py
@@ -167,7 +167,9 @@
         """Follow a leader that has just been heard."""
         if term > self.term or self.role is not Role.FOLLOWER:
             self.step_down(term, leader)
-        self.leader = leader
+        if self.leader != leader:
+            self.leader = leader
+            self.notify()
         self.heard_ms = self.clock.now_ms()
         self.timer_ms = self.heard_ms
 
--- a/src/acaciaramp/roles/common.py
+++ b/src/acaciaramp/roles/common.py
@@ -27,8 +27,15 @@
 
 _RUN_BYTES = 8
 # A link that brings nothing for so long is made anew, well before the time in
-# which an instance has to be in touch again.
-LINK_TIMING = LinkTiming(heartbeat_ms=400, silence_ms=1_200)
+# which an instance has to be in touch again. An opening packet that was lost is
+# sent again only after a second, so that a new connection is tried before.
+LINK_TIMING = LinkTiming(
+    heartbeat_ms=400,
+    silence_ms=1_200,
+    connect_ms=500,
+    reconnect_ms=50,
+    longest_reconnect_ms=400,
+)
 # A majority is enough: it outnumbers the disks that may be lost at once.
 LOG_TIMING = Timing(
     heartbeat_ms=100,
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -88,15 +88,12 @@
         ledger = LedgerClient(
             base.links, lambda: self._follower.view.storages, base.clock
         )
+        self._turns = Turns(ledger, ChainCache(), base.clock, base.tasks)
         self._gateway = Gateway(
             codec=adapter.codec,
             router=self._router,
             quota=self._quota,
-            turns=CallTurns(
-                Turns(ledger, ChainCache(), base.clock, base.tasks),
-                self._router,
-                base.clock,
-            ),
+            turns=CallTurns(self._turns, self._router, base.clock),
             forwarder=Forwarder(
                 adapter.codec,
                 self._placement,
@@ -149,13 +146,16 @@
         await self._gateway.serve(scope, receive, send)
 
     async def _finish(self) -> None:
-        """Wait for the answers under way."""
+        """Wait for the answers under way and for what they leave to settle."""
         base = self._base
         grace_ms = base.cfg.bounds.grace_s * _MS_PER_SECOND
         until_ms = base.clock.now_ms() + grace_ms - _NOTICE_MS - _EXIT_MARGIN_MS
-        while self._gateway.under_way and base.clock.now_ms() < until_ms:
+        while base.clock.now_ms() < until_ms and self._is_busy():
             await base.clock.sleep_ms(_FINISH_POLL_MS)
 
+    def _is_busy(self) -> bool:
+        return bool(self._gateway.under_way or self._turns.unsettled)
+
     async def _tick(self) -> None:
         base = self._base
         while True:
--- a/tests/conversations/test_ledger.py
+++ b/tests/conversations/test_ledger.py
@@ -8,7 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from acaciaramp.conversations.ledger import ACCOUNT_KEPT_MS, Ledger
+from acaciaramp.conversations.ledger import (
+    ACCOUNT_KEPT_MS,
+    ENDED_KEPT_MS,
+    Ledger,
+)
 from acaciaramp.conversations.messages import (
     CloseReply,
     CloseTurn,
@@ -169,3 +173,22 @@
     for number in range(300):
         closed(ledger, str(number), program=None, at_ms=ACCOUNT_KEPT_MS - 1)
     assert ledger.account(key('a'), PROGRAM).spent == 30
+
+
+def test_a_turn_that_has_ended_is_not_reserved_by_a_late_copy() -> None:
+    ledger = Ledger()
+    closed(ledger, 'a')
+    assert opened(ledger, 'a').outcome is OpenOutcome.ENDED
+    again = Ledger()
+    again.restore(ledger.snapshot())
+    assert opened(again, 'a').outcome is OpenOutcome.ENDED
+    assert again.account(key('a'), PROGRAM).spent == 0
+
+
+def test_ends_of_turns_are_forgotten_after_their_time() -> None:
+    ledger = Ledger()
+    closed(ledger, 'a')
+    for number in range(300):
+        late_ms = ENDED_KEPT_MS + 1
+        closed(ledger, str(number), program=None, at_ms=late_ms)
+    assert opened(ledger, 'a').outcome is OpenOutcome.OPENED
