Serve counters and histograms at an address; bound connections to endpoints

What comes from outside and is not used is counted by kind: forged headers, refused heads, stray answers and bytes, list entries, configs. An entry opens no more connections to an endpoint than its part of what the endpoint accepts of all, two at least. Seen by reading: the pool was changed by others while old connections were closed in a loop over it, which ends the process (RuntimeError, ValueError); they are now taken out first.

--- a/src/acaciaramp/cmd/role.py
+++ b/src/acaciaramp/cmd/role.py
@@ -48,6 +48,7 @@
         logger.info('Starting.', role=cfg.role.value, first=cfg.first_start)
         async with anyio.create_task_group() as tasks:
             base = Base(SettingsFile(path, cfg), SystemClock(), tasks)
+            tasks.start_soon(base.serve_metrics)
             await _run_role(cfg, base, stop)
             tasks.cancel_scope.cancel()
         logger.info('The process ends.')
--- a/src/acaciaramp/conversations/replica.py
+++ b/src/acaciaramp/conversations/replica.py
@@ -18,6 +18,7 @@
 )
 from acaciaramp.coordination.messages import LedgerStanding
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.metrics.names import Counter
 from acaciaramp.peering.messages import Channel
 from acaciaramp.replication.errors import (
     LeadershipLostError,
@@ -28,6 +29,7 @@
 
 if TYPE_CHECKING:
     from acaciaramp.ids import InstanceId
+    from acaciaramp.metrics.client import Metrics
     from acaciaramp.peering.links import Links
     from acaciaramp.replication import messages as msgs
     from acaciaramp.replication.group import Group
@@ -46,9 +48,15 @@
         group: The replica.
     """
 
-    def __init__(self, group: Group) -> None:
-        """Create the service on top of a replica."""
+    def __init__(self, group: Group, metrics: Metrics) -> None:
+        """Create the service on top of a replica.
+
+        Args:
+            group: The replica.
+            metrics: Counts what became of turns.
+        """
         self.group = group
+        self._metrics = metrics
 
     async def answer_wire(self, wire: bytes) -> bytes:
         """Answer an encoded request.
@@ -102,6 +110,8 @@
             ) from None
         if not isinstance(reply, (OpenReply, CloseReply)):
             raise CallError(ErrorCode.INTERNAL, 'a command gave no reply')
+        if isinstance(reply, OpenReply):
+            self._metrics.count(Counter.LEDGER_OPENED, reply.outcome)
         return reply
 
 
--- a/src/acaciaramp/coordination/follower.py
+++ b/src/acaciaramp/coordination/follower.py
@@ -16,6 +16,7 @@
 )
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import InstanceId
+from acaciaramp.metrics.names import Counter
 from acaciaramp.peering.messages import Channel
 from acaciaramp.util.logs import get_logger
 
@@ -161,6 +162,7 @@
         """
         hint = exc.refusal.leader
         if self._leader == target:
+            self._links.metrics.count(Counter.LEADER_LOST)
             logger.warning(
                 'The control leader is lost.', instance=target, reason=exc
             )
--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -15,6 +15,7 @@
     Endpoint,
     FollowReply,
     FollowRequest,
+    GrantReply,
     GrantRequest,
     OrderOutcome,
     OrderReply,
@@ -35,6 +36,7 @@
 from acaciaramp.coordination.rates import RateOwner
 from acaciaramp.coordination.retiring import judge, progress_of
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.metrics.names import Counter, GrantOutcome
 from acaciaramp.replication.errors import (
     LeadershipLostError,
     NotLeaderError,
@@ -50,6 +52,7 @@
     from acaciaramp.coordination.directory import Directory
     from acaciaramp.coordination.machine import ControlMachine
     from acaciaramp.ids import InstanceId
+    from acaciaramp.metrics.client import Metrics
     from acaciaramp.replication.group import Group
     from acaciaramp.routing.model import RoutingTable
 
@@ -88,6 +91,7 @@
         read_endpoints: ReadEndpoints,
         decode_table: DecodeTable,
         strength: int,
+        metrics: Metrics,
     ) -> None:
         """Create the service.
 
@@ -99,6 +103,7 @@
             read_endpoints: Reads the platform's instance list.
             decode_table: Reads a routing table as operators send it.
             strength: Replicas that the ledger needs.
+            metrics: Counts granted tokens.
         """
         self._group = group
         self._machine = machine
@@ -106,6 +111,7 @@
         self._clock = clock
         self._read_endpoints = read_endpoints
         self._strength = strength
+        self._metrics = metrics
         self._rates = RateOwner(
             lambda: machine.state, clock, decode_table, self._propose
         )
@@ -154,7 +160,7 @@
     async def _answer_as_leader(self, req: ControlRequest) -> ControlReply:
         match req:
             case GrantRequest():
-                return self._rates.grant(req)
+                return self._grant(req)
             case CrashReport():
                 self._quarantine.take(req)
                 return Done()
@@ -174,6 +180,12 @@
             case _:
                 raise CallError(ErrorCode.BAD_REQUEST, 'no leader answers it')
 
+    def _grant(self, req: GrantRequest) -> GrantReply:
+        reply = self._rates.grant(req)
+        outcome = GrantOutcome.GRANTED if reply.granted else GrantOutcome.NONE
+        self._metrics.count(Counter.GRANTS, outcome)
+        return reply
+
     async def _follow(self, req: FollowRequest) -> FollowReply:
         await self._await_leader()
         self._note_leadership()
--- a/src/acaciaramp/forwarding/connections.py
+++ b/src/acaciaramp/forwarding/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import socket
 from typing import TYPE_CHECKING, Any
 
@@ -12,11 +13,14 @@
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.messages import RawHeaders
+    from acaciaramp.ids import ServiceName
+
+    MostOf = Callable[[ServiceName], int | None]
 
 CONNECT_MS = 700
 # An endpoint that acknowledges nothing for so long is taken for lost.
@@ -82,6 +86,13 @@
         except _NETWORK_ERRORS as exc:
             raise cut_error(exc) from None
 
+    @property
+    def has_stray_bytes(self) -> bool:
+        """Whether bytes have come that belong to no request."""
+        # httpcore does not show what its parser has read beyond the answer.
+        parser: Any = self._http._h11_state
+        return bool(parser.trailing_data[0])
+
     def can_be_kept(self) -> bool:
         """Return whether another request may be sent on it.
 
@@ -90,9 +101,7 @@
         """
         if not self._http.is_idle() or self._http.has_expired():
             return False
-        # httpcore does not show what its parser has read beyond the answer.
-        parser: Any = self._http._h11_state
-        return not parser.trailing_data[0]
+        return not self.has_stray_bytes
 
     async def aclose(self) -> None:
         """Close the connection at once."""
@@ -100,16 +109,20 @@
 
 
 class Connections:
-    """Idle connections by endpoint."""
+    """Connections by endpoint; those that are idle are used again."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, most_of: MostOf) -> None:
         """Create the pool without connections.
 
         Args:
             clock: Tells how long a connection was idle.
+            most_of: Returns how many connections to an endpoint this instance
+                may have, None for any number.
         """
         self._clock = clock
+        self._most_of = most_of
         self._idle: dict[str, list[Connection]] = {}
+        self._open_counts: collections.Counter[str] = collections.Counter()
         self._backend = httpcore.AnyIOBackend()
 
     async def acquire(self, endpoint: Endpoint) -> Connection:
@@ -121,34 +134,79 @@
         idle = self._idle.get(endpoint.id, [])
         while idle:
             conn = idle.pop()
-            age_ms = self._clock.now_ms() - conn.used_ms
-            if age_ms < conn.idle_ms - _IDLE_MARGIN_MS and conn.can_be_kept():
+            if conn.can_be_kept() and not self._is_old(conn):
                 return conn
-            await conn.aclose()
+            await self.discard(endpoint, conn)
+        self._check_bound(endpoint)
         return await self._open(endpoint)
 
     async def release(self, endpoint: Endpoint, conn: Connection) -> None:
         """Keep a connection for the next request, or close it."""
         if not conn.can_be_kept():
-            await conn.aclose()
+            await self.discard(endpoint, conn)
             return
         conn.used_ms = self._clock.now_ms()
         self._idle.setdefault(endpoint.id, []).append(conn)
 
+    async def discard(self, endpoint: Endpoint, conn: Connection) -> None:
+        """Close a connection."""
+        await self._close(endpoint.id, conn)
+
     async def drop_old(self) -> None:
         """Close connections that their endpoints will close soon."""
-        now_ms = self._clock.now_ms()
-        for idle in self._idle.values():
-            old = [
-                conn
-                for conn in idle
-                if now_ms - conn.used_ms >= conn.idle_ms - _IDLE_MARGIN_MS
-            ]
-            for conn in old:
-                idle.remove(conn)
-                await conn.aclose()
+        # Others may use the pool while a connection is closed.
+        for name, conn in self._take_old():
+            await self._close(name, conn)
+
+    def _take_old(self) -> list[tuple[str, Connection]]:
+        """Take out the connections that are idle for too long."""
+        old = [
+            (name, conn)
+            for name, idle in self._idle.items()
+            for conn in idle
+            if self._is_old(conn)
+        ]
+        for name, conn in old:
+            self._idle[name].remove(conn)
+        return old
+
+    def _is_old(self, conn: Connection) -> bool:
+        age_ms = self._clock.now_ms() - conn.used_ms
+        return age_ms >= conn.idle_ms - _IDLE_MARGIN_MS
+
+    def _check_bound(self, endpoint: Endpoint) -> None:
+        """Refuse to open more connections than the endpoint accepts.
+
+        Raises:
+            EndpointError: There are as many; nothing was sent.
+        """
+        most = self._most_of(endpoint.service)
+        count = self._open_counts[endpoint.id]
+        if most is not None and count >= most:
+            raise EndpointError(
+                Failure.REFUSED,
+                Verdict.NOT_RUN,
+                f'{count} connections to the endpoint are in use here',
+            )
+
+    async def _close(self, name: str, conn: Connection) -> None:
+        self._note_closed(name)
+        await conn.aclose()
+
+    def _note_closed(self, name: str) -> None:
+        self._open_counts[name] -= 1
+        if not self._open_counts[name]:
+            self._open_counts.pop(name)
 
     async def _open(self, endpoint: Endpoint) -> Connection:
+        self._open_counts[endpoint.id] += 1
+        try:
+            return await self._connect(endpoint)
+        except BaseException:
+            self._note_closed(endpoint.id)
+            raise
+
+    async def _connect(self, endpoint: Endpoint) -> Connection:
         try:
             stream = await self._backend.connect_tcp(
                 endpoint.host,
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 
 from acaciaramp.endpoints.failures import EndpointError, Failure
 from acaciaramp.errors import CallError, ErrorCode
-from acaciaramp.metrics.names import Counter
+from acaciaramp.metrics.names import BadInput, Counter, Timer
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
 
@@ -121,12 +121,16 @@
         self, call: Call, endpoint: Endpoint, relay: Relay
     ) -> None:
         conn = await self._connections.acquire(endpoint)
+        started_ms = self._clock.now_ms()
         try:
             await self._exchange(call, endpoint, relay, conn)
         except BaseException:
             with anyio.CancelScope(shield=True):
-                await conn.aclose()
+                await self._connections.discard(endpoint, conn)
             raise
+        self._metrics.time(Timer.ENDPOINT, self._clock.now_ms() - started_ms)
+        if conn.has_stray_bytes:
+            self._metrics.count(Counter.BAD_INPUT, BadInput.STRAY_BYTES)
         await self._connections.release(endpoint, conn)
 
     async def _exchange(
@@ -173,6 +177,7 @@
                 f'the endpoint did not run it: {head.status}',
             )
         if head.attempt != call.inbound.attempt:
+            self._metrics.count(Counter.BAD_INPUT, BadInput.STRAY_ANSWER)
             raise EndpointError(
                 Failure.MALFORMED,
                 Verdict.MAY_HAVE_RUN,
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -11,7 +11,7 @@
 from acaciaramp.forwarding.call import Call
 from acaciaramp.forwarding.caller import Caller
 from acaciaramp.forwarding.relay import Relay
-from acaciaramp.metrics.names import Counter
+from acaciaramp.metrics.names import BadInput, Counter, Timer
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
 
@@ -97,6 +97,7 @@
             inbound = self._codec.read_request(scope)
             attempt = inbound.attempt
             inbound.started_ms = started_ms
+            self._note_forged(inbound)
             await self._answer(inbound, caller)
         except CallError as exc:
             await self._refuse(attempt, exc.refusal, caller, started_ms)
@@ -239,6 +240,7 @@
         """
         if call.workspace is None:
             return
+        asked_ms = self._clock.now_ms()
         try:
             await self._quota.admit(
                 call.workspace,
@@ -248,6 +250,7 @@
         except BaseException:
             self._turns.settle_failed(call, Verdict.NOT_RUN)
             raise
+        self._metrics.time(Timer.ADMISSION, self._clock.now_ms() - asked_ms)
 
     def _token_wait_ms(self, call: Call) -> int:
         """Return how long a token is worth waiting for.
@@ -285,7 +288,20 @@
             status, headers, body = self._codec.write_refusal(refusal)
             await caller.whole(status, headers, body)
 
+    def _note_forged(self, inbound: Inbound) -> None:
+        """Take note of headers that only the system may set."""
+        if inbound.forged:
+            self._metrics.count(Counter.BAD_INPUT, BadInput.FORGED_HEADER)
+            logger.warning(
+                'Headers that only the system sets were left out.',
+                attempt=inbound.attempt,
+                headers=inbound.forged,
+            )
+
     def _log_answer(self, call: Call, relay: Relay) -> None:
+        took_ms = self._clock.now_ms() - call.inbound.started_ms
+        self._metrics.count(Counter.ANSWERED, call.route.kind)
+        self._metrics.time(Timer.REQUEST, took_ms)
         logger.info(
             'A request was answered.',
             attempt=call.inbound.attempt,
@@ -294,5 +310,5 @@
             workspace=call.workspace,
             status=relay.status,
             events=relay.events.events,
-            took_ms=self._clock.now_ms() - call.inbound.started_ms,
+            took_ms=took_ms,
         )
--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -47,6 +47,7 @@
         object_key: Names the object that it is about.
         turn: What it says of itself as a turn.
         headers: Headers that are handed on.
+        forged: Names of headers that came though only the system sets them.
         body: The body.
         started_ms: When it came.
     """
@@ -61,6 +62,7 @@
     object_key: str
     turn: TurnTerms
     headers: RawHeaders
+    forged: tuple[str, ...] = ()
     body: bytes = b''
     started_ms: int = 0
 
--- a/src/acaciaramp/forwarding/protocol.py
+++ b/src/acaciaramp/forwarding/protocol.py
@@ -7,12 +7,17 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from acaciaramp.clock import MS_PER_SECOND
+from acaciaramp.metrics.names import BadInput, Counter
+from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
     import asyncio
 
+    from acaciaramp.metrics.client import Metrics
     from acaciaramp.routing.router import Router
 
+logger = get_logger('gateway')
+
 _HEAD_TOO_LARGE = b'431 Request Header Fields Too Large'
 _TOO_SLOW = b'408 Request Timeout'
 _MALFORMED = b'400 Bad Request'
@@ -21,15 +26,17 @@
 class ForwardingProtocol(HttpToolsProtocol):
     """A connection that is closed if its headers are slow or too long."""
 
-    def __init__(self, router: Router, **kwargs: Any) -> None:
+    def __init__(self, router: Router, metrics: Metrics, **kwargs: Any) -> None:
         """Create the connection.
 
         Args:
             router: Knows the limits.
+            metrics: Counts what is refused.
             **kwargs: What the server gives to every connection.
         """
         super().__init__(**kwargs)
         self._router = router
+        self._metrics = metrics
         self._head_bytes = 0
         self._is_in_head = False
         self._head_timer: asyncio.TimerHandle | None = None
@@ -88,6 +95,8 @@
     def _refuse(self, status: bytes) -> None:
         if self.transport.is_closing():
             return
+        self._metrics.count(Counter.BAD_INPUT, BadInput.HEADERS)
+        logger.warning('Headers were refused.', status=status)
         self.transport.write(
             b'HTTP/1.1 %s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
             % status
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -9,6 +9,7 @@
 from acaciaramp.conversations.messages import TurnKey
 from acaciaramp.conversations.turns import OpenedTurn, TurnPlan, Turns
 from acaciaramp.ids import WorkspaceId
+from acaciaramp.metrics.names import Timer
 from acaciaramp.routing.model import RouteKind
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
@@ -19,6 +20,7 @@
     from acaciaramp.clock import Clock
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.relay import Relay
+    from acaciaramp.metrics.client import Metrics
     from acaciaramp.routing.router import Router
 
 logger = get_logger('gateway')
@@ -31,14 +33,18 @@
 class CallTurns:
     """What the calls of one entry ask of the ledger."""
 
-    def __init__(self, turns: Turns, router: Router, clock: Clock) -> None:
+    def __init__(
+        self, turns: Turns, router: Router, clock: Clock, metrics: Metrics
+    ) -> None:
         """Create the part.
 
         Args:
             turns: Reserves, keeps and settles.
             router: Knows how many tokens an event has.
             clock: Source of time.
+            metrics: Times the ledger.
         """
+        self._metrics = metrics
         self._turns = turns
         self._router = router
         self._clock = clock
@@ -55,7 +61,9 @@
         if not plan.needs_ledger and not plan.retention_ms:
             return None
         left_ms = call.give_up_ms - self._clock.now_ms()
+        asked_ms = self._clock.now_ms()
         turn = await self._turns.open(plan, left_ms)
+        self._metrics.time(Timer.LEDGER, self._clock.now_ms() - asked_ms)
         logger.info(
             'A turn is open.',
             attempt=call.inbound.attempt,
--- a/src/acaciaramp/metrics/client.py
+++ b/src/acaciaramp/metrics/client.py
@@ -1,8 +1,10 @@
-"""Sends counters and timers; counts them in memory as well."""
+"""Counters and durations of one process: kept in memory, sent to statsd."""
 
 from __future__ import annotations
 
+import bisect
 import collections
+import math
 from typing import TYPE_CHECKING
 
 import statsd
@@ -13,17 +15,45 @@
     from acaciaramp.metrics.names import Counter, Timer
     from acaciaramp.settings.model import Statsd
 
+# Upper bounds of the buckets in milliseconds, from a way within an
+# availability zone to longer than any caller waits.
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000)
+
+
+class Durations:
+    """A histogram of durations.
+
+    Attributes:
+        counts: Durations by bucket; the last one has no upper bound.
+        total_ms: Their sum.
+    """
+
+    def __init__(self) -> None:
+        """Create the histogram without durations."""
+        self.counts = [0 for _ in (*BUCKETS_MS, math.inf)]
+        self.total_ms = 0
+
+    def add(self, duration_ms: int) -> None:
+        """Count one duration."""
+        self.counts[bisect.bisect_left(BUCKETS_MS, duration_ms)] += 1
+        self.total_ms += duration_ms
+
 
 class Metrics:
-    """Counters and timers of one process.
+    """Counters and durations of one process.
 
     Attributes:
-        counts: How often each counter was raised since the start, by name.
+        counts: How often each counter was raised since the start, by name; a
+            dot and a reason may follow the name.
+        durations: Histograms by name.
     """
 
     def __init__(self, settings: Statsd | None = None) -> None:
         """Create the client; without settings nothing leaves the process."""
         self.counts: collections.Counter[str] = collections.Counter()
+        self.durations: collections.defaultdict[str, Durations] = (
+            collections.defaultdict(Durations)
+        )
         self._statsd: statsd.StatsClient | None = None
         if settings is not None:
             self._statsd = statsd.StatsClient(
@@ -41,5 +71,6 @@
 
     def time(self, timer: Timer, duration_ms: int) -> None:
         """Record one duration in milliseconds."""
+        self.durations[timer.value].add(duration_ms)
         if self._statsd is not None:
             self._statsd.timing(timer.value, duration_ms)
--- /dev/null
+++ b/src/acaciaramp/metrics/exchange.py
@@ -0,0 +1,70 @@
+"""One question for metrics over HTTP, and its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import h11
+
+from acaciaramp.metrics.exposition import render
+from acaciaramp.util.logs import get_logger
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+
+    from acaciaramp.metrics.client import Metrics
+
+logger = get_logger('metrics')
+
+_PATH = b'/metrics'
+_SUCCESS = 200
+_NOT_FOUND = 404
+_READ_BYTES = 4_096
+
+
+async def answer_question(stream: ByteStream, metrics: Metrics) -> None:
+    """Read one request and answer it with the metrics."""
+    conn = h11.Connection(h11.SERVER)
+    try:
+        req = await _read(stream, conn)
+        if req is not None:
+            await _write(stream, conn, _body_of(req, metrics))
+    except (h11.RemoteProtocolError, anyio.BrokenResourceError) as exc:
+        logger.info('A question for metrics was left.', reason=exc)
+
+
+async def _read(stream: ByteStream, conn: h11.Connection) -> h11.Request | None:
+    """Return the request, None if the other side closes before."""
+    while True:
+        event = conn.next_event()
+        if isinstance(event, h11.Request):
+            return event
+        if event is not h11.NEED_DATA:
+            return None
+        try:
+            conn.receive_data(await stream.receive(_READ_BYTES))
+        except anyio.EndOfStream:
+            return None
+
+
+def _body_of(req: h11.Request, metrics: Metrics) -> bytes | None:
+    is_known = req.method == b'GET' and req.target == _PATH
+    return render(metrics) if is_known else None
+
+
+async def _write(
+    stream: ByteStream, conn: h11.Connection, body: bytes | None
+) -> None:
+    status = _NOT_FOUND if body is None else _SUCCESS
+    content = body or b''
+    head = h11.Response(
+        status_code=status,
+        headers=[
+            ('content-type', 'text/plain; version=0.0.4; charset=utf-8'),
+            ('content-length', str(len(content))),
+            ('connection', 'close'),
+        ],
+    )
+    for event in (head, h11.Data(content), h11.EndOfMessage()):
+        await stream.send(conn.send(event) or b'')
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -1,4 +1,4 @@
-"""The name of every metric; docs/metrics.md lists them for operators."""
+"""The name of every metric; docs/operators/metrics.md lists them."""
 
 from __future__ import annotations
 
@@ -15,16 +15,37 @@
     FINISHED = 'step.finished'
     FAILED = 'step.failed'
     RESUMED = 'stream.resumed'
-    RESTARTED = 'stream.restarted'
     CANCELLED = 'step.cancelled'
     PROGRAM_CREATED = 'program.created'
     PROGRAM_ENDED = 'program.ended'
     ENDPOINT_DOWN = 'endpoint.down'
-    ENDPOINT_UP = 'endpoint.up'
     RELEASED = 'engine.released'
     LINK_OPENED = 'link.opened'
     LINK_LOST = 'link.lost'
     LINK_REJECTED = 'link.rejected'
+    ANSWERED = 'answered'
+    BAD_INPUT = 'bad_input'
+    LEADER_LOST = 'leader.lost'
+    LEDGER_OPENED = 'ledger.opened'
+    GRANTS = 'rate.asked'
+
+
+class GrantOutcome(enum.Enum):
+    """Reasons of ``GRANTS``: what became of a question for a token."""
+
+    GRANTED = 'granted'
+    NONE = 'none'
+
+
+class BadInput(enum.Enum):
+    """Reasons of ``BAD_INPUT``: what came from outside and was not used."""
+
+    FORGED_HEADER = 'forged_header'
+    LIST_ENTRY = 'list_entry'
+    STRAY_ANSWER = 'stray_answer'
+    STRAY_BYTES = 'stray_bytes'
+    TABLE = 'table'
+    HEADERS = 'headers'
 
 
 class Timer(enum.Enum):
@@ -36,3 +57,5 @@
     ENDPOINT = 'stage.endpoint'
     STEP = 'stage.step'
     PEER = 'stage.peer'
+    REQUEST = 'stage.request'
+    LEDGER = 'stage.ledger'
--- a/src/acaciaramp/peering/links.py
+++ b/src/acaciaramp/peering/links.py
@@ -34,7 +34,7 @@
             timing: Heartbeats and silence.
         """
         self._clock = clock
-        self._metrics = metrics
+        self.metrics = metrics
         self._tasks = tasks
         self._timing = timing
         self._links: dict[InstanceId, Link] = {}
@@ -48,7 +48,7 @@
                 instance,
                 Address(host, int(port)),
                 self._clock,
-                self._metrics,
+                self.metrics,
                 self._timing,
             )
             self._links[instance] = found
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -40,13 +40,12 @@
         b'upgrade',
     )
 )
-# Headers that only the system may set on a request to an endpoint.
-_SYSTEM_ONLY = frozenset(
+# Headers that only the system may set on a request to an endpoint, and that a
+# caller has no reason to send.
+_FORGEABLE = frozenset(
     (
         _TENANT,
         _EXPECT_INSTANCE,
-        _DEADLINE,
-        b'authorization',
         b'kv-fetch',
         b'kv-from',
         b'x-expect-version',
@@ -55,6 +54,8 @@
         b'x-pin-ms',
     )
 )
+# What an endpoint gets in another form than the caller sent it, or not at all.
+_SYSTEM_ONLY = _FORGEABLE | {_DEADLINE, b'authorization'}
 _MISDIRECTED = 421
 _MS_PER_SECOND = 1000
 
@@ -88,6 +89,7 @@
             object_key=_text(named, b'x-affinity-key'),
             turn=_turn(named),
             headers=_forwarded(raw, named),
+            forged=tuple(name.decode() for name in named if name in _FORGEABLE),
         )
 
     def write_request(
--- a/src/acaciaramp/platform/instances.py
+++ b/src/acaciaramp/platform/instances.py
@@ -12,12 +12,14 @@
 from acaciaramp.endpoints.http import HttpClient, HttpRequest
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import AvailabilityZone, EndpointId, ServiceName
+from acaciaramp.metrics.names import BadInput, Counter
 from acaciaramp.settings.node import split_address
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.leader import ReadEndpoints
+    from acaciaramp.metrics.client import Metrics
 
 logger = get_logger('instances')
 
@@ -48,7 +50,7 @@
 _instance_decoder = msgspec.json.Decoder(_Instance)
 
 
-def make_reader(address: str, clock: Clock) -> ReadEndpoints:
+def make_reader(address: str, clock: Clock, metrics: Metrics) -> ReadEndpoints:
     """Return the function that reads the whole list.
 
     It raises ``CallError`` when the list cannot be read.
@@ -56,6 +58,7 @@
     Args:
         address: Host and port of the list.
         clock: Bounds the wait.
+        metrics: Counts entries that cannot be read.
     """
     client = HttpClient(clock)
 
@@ -67,7 +70,7 @@
             page = await _read_page(
                 client, f'http://{address}/instances{query}'
             )
-            found.extend(decode_entries(page.instances))
+            found.extend(decode_entries(page.instances, metrics))
             if not page.next:
                 return tuple(found)
             token = page.next
@@ -75,13 +78,16 @@
     return read
 
 
-def decode_entries(entries: list[msgspec.Raw]) -> list[Endpoint]:
+def decode_entries(
+    entries: list[msgspec.Raw], metrics: Metrics
+) -> list[Endpoint]:
     """Return the endpoints of those entries that can be read."""
     found = []
     for entry in entries:
         try:
             found.append(_endpoint(_instance_decoder.decode(entry)))
         except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+            metrics.count(Counter.BAD_INPUT, BadInput.LIST_ENTRY)
             logger.info('An entry of the instance list is left out.', why=exc)
     return found
 
--- a/src/acaciaramp/platform/operators.py
+++ b/src/acaciaramp/platform/operators.py
@@ -19,6 +19,7 @@
 )
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.forwarding.caller import Caller
+from acaciaramp.metrics.names import BadInput, Counter
 from acaciaramp.platform.config import decode_table
 from acaciaramp.platform.headers import PlatformCodec
 from acaciaramp.routing.checks import InvalidTableError
@@ -28,6 +29,7 @@
     from collections.abc import Awaitable, Callable
 
     from acaciaramp.coordination.follower import Follower
+    from acaciaramp.metrics.client import Metrics
 
 logger = get_logger('operators')
 
@@ -56,11 +58,13 @@
 
 def make_operator_app(
     follower: Follower,
+    metrics: Metrics,
 ) -> Callable[..., Awaitable[None]]:
     """Return the ASGI application for operators.
 
     Args:
         follower: Asks whichever control instance leads.
+        metrics: Counts configs that are invalid.
     """
     codec = PlatformCodec()
 
@@ -72,6 +76,12 @@
             if body is None:
                 return
             answer = await _answer(follower, call, body)
+        except InvalidTableError as exc:
+            metrics.count(Counter.BAD_INPUT, BadInput.TABLE)
+            logger.warning('A config is invalid.', mistakes=exc)
+            refusal = CallError(ErrorCode.BAD_REQUEST, str(exc)).refusal
+            await caller.whole(*codec.write_refusal(refusal))
+            return
         except CallError as exc:
             logger.warning(
                 'A call was refused.', call=call, reason=exc.refusal.message
@@ -109,11 +119,7 @@
 
 
 async def _replace(follower: Follower, body: bytes) -> _Answer:
-    try:
-        table = decode_table(body)
-    except InvalidTableError as exc:
-        logger.warning('A config is invalid.', mistakes=exc)
-        raise CallError(ErrorCode.BAD_REQUEST, str(exc)) from None
+    table = decode_table(body)
     state = await follower.ask(
         StoreTable(table.version, body), StateReply, _ANSWER_MS
     )
--- a/src/acaciaramp/roles/adapter.py
+++ b/src/acaciaramp/roles/adapter.py
@@ -11,6 +11,7 @@
     from acaciaramp.coordination.follower import Follower
     from acaciaramp.coordination.leader import ReadEndpoints
     from acaciaramp.forwarding.messages import Codec
+    from acaciaramp.metrics.client import Metrics
     from acaciaramp.routing.model import RoutingTable
 
     App = Callable[..., Awaitable[None]]
@@ -29,5 +30,5 @@
 
     codec: Codec
     decode_table: Callable[[bytes], RoutingTable]
-    make_reader: Callable[[str, Clock], ReadEndpoints]
-    make_operator_app: Callable[[Follower], App]
+    make_reader: Callable[[str, Clock, Metrics], ReadEndpoints]
+    make_operator_app: Callable[[Follower, Metrics], App]
--- a/src/acaciaramp/roles/common.py
+++ b/src/acaciaramp/roles/common.py
@@ -9,6 +9,7 @@
 from acaciaramp.coordination.messages import Node
 from acaciaramp.ids import InstanceId
 from acaciaramp.metrics.client import Metrics
+from acaciaramp.metrics.server import serve_metrics
 from acaciaramp.peering.link import LinkTiming
 from acaciaramp.peering.links import Links
 from acaciaramp.peering.server import Address, serve_peers
@@ -99,6 +100,13 @@
             standing,
         )
 
+    async def serve_metrics(self) -> None:
+        """Serve the metrics of this process until cancelled."""
+        if self.cfg.metrics_port is not None:
+            await serve_metrics(
+                self.cfg.host, self.cfg.metrics_port, self.metrics
+            )
+
     async def serve_peers(self, handlers: Handlers) -> None:
         """Answer other instances until cancelled."""
         address = Address(self.cfg.host, self.cfg.inner_port)
--- a/src/acaciaramp/roles/control.py
+++ b/src/acaciaramp/roles/control.py
@@ -76,10 +76,11 @@
             directory=self._directory,
             clock=base.clock,
             read_endpoints=adapter.make_reader(
-                cfg.instance_list.address, base.clock
+                cfg.instance_list.address, base.clock, base.metrics
             ),
             decode_table=adapter.decode_table,
             strength=2 * cfg.tolerated_faults + 1,
+            metrics=base.metrics,
         )
         self._follower = base.follower(ignore, ignore, lambda: None)
 
@@ -95,7 +96,7 @@
         base.tasks.start_soon(self._follower.run)
         if base.cfg.first_start and base.node.instance == min(base.seeds()):
             self._group.form()
-        app = self._adapter.make_operator_app(self._follower)
+        app = self._adapter.make_operator_app(self._follower, base.metrics)
         port = open_port(*split_address(base.cfg.operators or ''))
         async with serving(app, [port]):
             await stop.wait()
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -37,6 +37,7 @@
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint, View
+    from acaciaramp.ids import ServiceName
     from acaciaramp.roles.adapter import Adapter
     from acaciaramp.roles.common import Base
     from acaciaramp.settings.node import NodeSettings
@@ -56,6 +57,8 @@
 _NOTICE_MS = 2_500
 # Kept of the time until a stopped process is killed.
 _EXIT_MARGIN_MS = 1_000
+# Also where endpoints accept fewer connections than there are entries.
+_LEAST_CONNECTIONS = 2
 _MS_PER_SECOND = 1_000
 _READY = 200
 _NOT_READY = 503
@@ -81,7 +84,7 @@
         self._entries = 0
         self._quota = Quota(self._ask_tokens, GRANT_MS, base.clock)
         self._placement = placement_of(cfg, base.clock)
-        self._connections = Connections(base.clock)
+        self._connections = Connections(base.clock, self._most_connections)
         self._follower = base.follower(
             self._take_table, self._take_view, lambda: None
         )
@@ -93,7 +96,9 @@
             codec=adapter.codec,
             router=self._router,
             quota=self._quota,
-            turns=CallTurns(self._turns, self._router, base.clock),
+            turns=CallTurns(
+                self._turns, self._router, base.clock, base.metrics
+            ),
             forwarder=Forwarder(
                 adapter.codec,
                 self._placement,
@@ -107,7 +112,7 @@
         )
         self._readiness_port = split_address(cfg.readiness or '')[1]
         self._read_endpoints = adapter.make_reader(
-            cfg.instance_list.address, base.clock
+            cfg.instance_list.address, base.clock, base.metrics
         )
 
     @property
@@ -130,7 +135,9 @@
             for address in (base.cfg.callers, base.cfg.readiness)
             if address is not None
         ]
-        protocol = functools.partial(ForwardingProtocol, self._router)
+        protocol = functools.partial(
+            ForwardingProtocol, self._router, base.metrics
+        )
         async with serving(self._app, ports, protocol):
             await stop.wait()
             self._gateway.is_stopping = True
@@ -183,6 +190,14 @@
         )
         return reply.granted, reply.wait_ms
 
+    def _most_connections(self, service: ServiceName) -> int | None:
+        """Return this entry's part of what an endpoint accepts of all."""
+        known = self._router.services.get(service)
+        if known is None or not known.most_connections:
+            return None
+        part = known.most_connections // max(1, self._entries)
+        return max(_LEAST_CONNECTIONS, part)
+
     def _report_crash(self, digest: str, endpoint: Endpoint) -> None:
         self._base.tasks.start_soon(self._send_report, digest, endpoint)
 
--- a/src/acaciaramp/roles/storage.py
+++ b/src/acaciaramp/roles/storage.py
@@ -46,7 +46,7 @@
             candidates=lambda: self._follower.view.storages,
             retiring=lambda: self._follower.view.retiring,
         )
-        self._replica = LedgerReplica(self._group)
+        self._replica = LedgerReplica(self._group, base.metrics)
         self._follower = base.follower(
             ignore, self._take_view, self._replica.standing
         )
--- a/src/acaciaramp/settings/node.py
+++ b/src/acaciaramp/settings/node.py
@@ -84,6 +84,7 @@
         readiness: Host and port for questions whether it is ready.
         operators: Host and port for operators.
         data_folder: Folder on a disk that lasts.
+        metrics_port: Port on which metrics are served; None for none.
         first_start: Whether the deployment starts for the first time.
         tolerated_faults: Instances with a disk that may be lost at once.
         bounds: Times that the deployment promises.
@@ -102,6 +103,7 @@
     readiness: str | None = None
     operators: str | None = None
     data_folder: str | None = None
+    metrics_port: int | None = None
     first_start: bool = False
     tolerated_faults: int = 1
     bounds: Bounds = Bounds()
--- a/tests/coordination/test_leader.py
+++ b/tests/coordination/test_leader.py
@@ -31,6 +31,7 @@
 )
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import InstanceId
+from acaciaramp.metrics.client import Metrics
 from acaciaramp.replication.errors import PeerError
 from acaciaramp.replication.group import Group
 from acaciaramp.replication.members import Member
@@ -84,6 +85,7 @@
             clock=clock,
             read_endpoints=self._read,
             decode_table=_decode,
+            metrics=Metrics(),
             strength=3,
         )
 
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -102,6 +102,7 @@
         router: Its routes.
         placement: Its endpoints.
         crashes: Digests of requests under which an endpoint broke off.
+        metrics: Its counters.
     """
 
     def __init__(self, tasks: anyio.abc.TaskGroup, route: Route) -> None:
@@ -109,6 +110,7 @@
         clock = SystemClock()
         codec = PlatformCodec()
         self.crashes: list[str] = []
+        self.metrics = Metrics()
         self.ledger = LocalLedger()
         self.router = Router(random.Random(1))
         self.router.replace(build.routing_table(route))
@@ -127,17 +129,18 @@
                 ),
                 self.router,
                 clock,
+                self.metrics,
             ),
             forwarder=Forwarder(
                 codec,
                 self.placement,
-                Connections(clock),
+                Connections(clock, lambda _: None),
                 clock,
-                Metrics(),
+                self.metrics,
                 lambda digest, _: self.crashes.append(digest),
             ),
             clock=clock,
-            metrics=Metrics(),
+            metrics=self.metrics,
         )
 
     async def ask(
@@ -248,10 +251,21 @@
         bodies = [(await bed.ask(attempt)).body for attempt in 'abc']
         assert bodies == [b'right'] * 3
         assert [heard.connection for heard in fakes[0].heard] == [1, 2, 3]
+        assert bed.metrics.counts['bad_input.stray_bytes'] == 3
 
     run(PLAIN, scenario, stray)
 
 
+def test_headers_of_the_system_from_a_caller_are_left_out_and_counted() -> None:
+    async def scenario(bed: Bed, fakes: list[ScriptedEndpoint]) -> None:
+        await bed.ask('a1', (b'x-kv-hold', b'1'), (b'x-tenant', b'other'))
+        assert b'x-kv-hold' not in fakes[0].heard[0].head.lower()
+        await bed.ask('a2')
+        assert bed.metrics.counts['bad_input.forged_header'] == 1
+
+    run(PLAIN, scenario, whole)
+
+
 def test_an_answer_to_another_request_is_not_handed_on() -> None:
     def crossed(_: Heard) -> list[bytes | None]:
         return [answer(Heard(b'x-attempt-id: other', b'', 1), b'wrong')]
@@ -260,6 +274,7 @@
         caller = await bed.ask()
         assert caller.status == 502
         assert b'wrong' not in caller.body
+        assert bed.metrics.counts['bad_input.stray_answer'] == 1
 
     run(PLAIN, scenario, crossed)
 
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from acaciaramp.metrics.client import Metrics
 from acaciaramp.platform.instances import decode_entries
 
 GOOD = (
@@ -24,6 +25,8 @@
 
 def test_unreadable_entries_are_left_out() -> None:
     entries = [msgspec.Raw(entry) for entry in (*BAD, GOOD, *BAD)]
-    (found,) = decode_entries(entries)
+    metrics = Metrics()
+    (found,) = decode_entries(entries, metrics)
+    assert metrics.counts['bad_input.list_entry'] == 2 * len(BAD)
     assert (found.id, found.host, found.port) == ('i-1', '10.0.0.9', 80)
     assert (found.slots, found.is_leaving, found.born_ms) == (12, True, 5)
