--- a/src/acaciaramp/cmd/program.py
+++ b/src/acaciaramp/cmd/program.py
@@ -1,34 +1,68 @@
-"""``acaciaramp explain``: tells what happened to a program."""
+"""``acaciaramp explain``: tells what happened to a program or a request."""
 
 from __future__ import annotations
 
+import itertools
+import pathlib
+
 import click
 import httpcore
 
 from acaciaramp.errors import AcaciarampError
+from acaciaramp.util.stories import read_lines, story_of, tell
 
 _OK = 200
 
 
 class AnswerError(AcaciarampError):
-    """An instance did not answer as asked."""
+    """An instance or the logs did not answer as asked."""
 
 
 @click.command()
-@click.argument('program', metavar='PROGRAM')
-@click.option(
-    '--address',
-    required=True,
-    help='Address of an instance, http://IP:PORT.',
-)
+@click.argument('name', metavar='ID')
+@click.option('--address', help='Address of an instance, http://IP:PORT.')
 @click.option(
     '--key',
     envvar='ACACIARAMP_KEY',
-    required=True,
     help="A key of the program's workspace; better given in ACACIARAMP_KEY.",
 )
-def explain(program: str, address: str, key: str) -> None:
-    """Tell what happened to PROGRAM, step by step, as JSON."""
+@click.option(
+    '--logs',
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False),
+    help='A file of log lines; may be given more than once.',
+)
+def explain(
+    name: str, address: str | None, key: str | None, logs: tuple[str, ...]
+) -> None:
+    """Tell what happened to ID, step by step.
+
+    With --logs, ID is that of a request or of a program, and the last line
+    tells the cause of its end. With --address and --key, a program's own
+    instance is asked; it answers with JSON.
+    """
+    if logs:
+        _explain_from_logs(name, logs)
+    elif address and key:
+        _ask_instance(name, address, key)
+    else:
+        raise click.UsageError('give --logs, or --address and --key')
+
+
+def _explain_from_logs(name: str, logs: tuple[str, ...]) -> None:
+    texts = (
+        pathlib.Path(path).read_text('utf-8', 'replace').splitlines()
+        for path in logs
+    )
+    lines = read_lines(itertools.chain.from_iterable(texts))
+    story = story_of(name, lines)
+    if not story:
+        raise AnswerError(f'no line of the logs names "{name}"')
+    for sentence in tell(story):
+        click.echo(sentence)
+
+
+def _ask_instance(program: str, address: str, key: str) -> None:
     url = f'{address}/v1/programs/{program}/explain'
     try:
         resp = httpcore.request(
--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -150,7 +150,11 @@
         if key.attempt in account.reserved:
             return OpenReply(OpenOutcome.OPENED, chain, account.spent)
         if account.spent + wanted.most_tokens > wanted.budget:
-            return OpenReply(OpenOutcome.EXHAUSTED, spent=account.spent)
+            return OpenReply(
+                OpenOutcome.EXHAUSTED,
+                spent=account.spent,
+                under_way=len(account.reserved),
+            )
         account.reserved[key.attempt] = wanted.most_tokens
         return OpenReply(OpenOutcome.OPENED, chain, account.spent, is_new)
 
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -113,12 +113,14 @@
         chain: Contents of the turns that it continues, oldest first.
         spent: Tokens that the program has used or reserved.
         is_new: Whether this is the first turn of its program.
+        under_way: Turns of the program that count at their most.
     """
 
     outcome: OpenOutcome
     chain: bytes = b''
     spent: int = 0
     is_new: bool = False
+    under_way: int = 0
 
 
 class CloseReply(msgspec.Struct, frozen=True, tag=True):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -162,7 +162,8 @@
         if reply.outcome is OpenOutcome.EXHAUSTED:
             raise CallError(
                 ErrorCode.BUDGET_EXHAUSTED,
-                f'{reply.spent} of {plan.budget} tokens are used or reserved; '
+                f'{reply.spent} of {plan.budget} tokens are used or reserved, '
+                f'with {reply.under_way} turns under way or broken off; '
                 f'the turn may need {plan.most_tokens}',
             )
         if reply.outcome is OpenOutcome.UNKNOWN_TURN:
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -92,20 +92,22 @@
         caller = Caller(receive, send, closes=lambda: self.is_stopping)
         started_ms = self._clock.now_ms()
         self.under_way += 1
-        attempt = ''
+        inbound: Inbound | None = None
         try:
             inbound = self._codec.read_request(scope)
-            attempt = inbound.attempt
             inbound.started_ms = started_ms
             self._note_forged(inbound)
             await self._answer(inbound, caller)
         except CallError as exc:
-            await self._refuse(attempt, exc.refusal, caller, started_ms)
+            await self._refuse(inbound, exc.refusal, caller, started_ms)
         except EndpointError as exc:
             # The connection ends without the rest, so that what came of the
             # answer does not look whole.
             logger.warning(
-                'An answer was broken off.', attempt=attempt, reason=exc
+                'An answer was broken off.',
+                reason=exc,
+                took_ms=self._clock.now_ms() - started_ms,
+                **_names(inbound),
             )
         except Exception as exc:
             # A defect: whether the request was sent is not known here.
@@ -113,7 +115,7 @@
             refusal = CallError(
                 ErrorCode.INTERNAL, 'an internal error', Verdict.MAY_HAVE_RUN
             ).refusal
-            await self._refuse(attempt, refusal, caller, started_ms)
+            await self._refuse(inbound, refusal, caller, started_ms)
         finally:
             self.under_way -= 1
 
@@ -272,17 +274,22 @@
             )
 
     async def _refuse(
-        self, attempt: str, refusal: Refusal, caller: Caller, started_ms: int
+        self,
+        inbound: Inbound | None,
+        refusal: Refusal,
+        caller: Caller,
+        started_ms: int,
     ) -> None:
         self._metrics.count(Counter.REFUSED, refusal.code)
         logger.warning(
             'A request was refused.',
-            attempt=attempt,
             code=refusal.code.value,
             verdict=refusal.verdict.value,
             reason=refusal.message,
             retry_after_ms=refusal.retry_after_ms,
             took_ms=self._clock.now_ms() - started_ms,
+            version=self._router.version,
+            **_names(inbound),
         )
         if not caller.has_started:
             status, headers, body = self._codec.write_refusal(refusal)
@@ -304,7 +311,7 @@
         self._metrics.time(Timer.REQUEST, took_ms)
         logger.info(
             'A request was answered.',
-            attempt=call.inbound.attempt,
+            **_names(call.inbound),
             route=call.route.name,
             version=self._router.version,
             workspace=call.workspace,
@@ -312,3 +319,13 @@
             events=relay.events.events,
             took_ms=took_ms,
         )
+
+
+def _names(inbound: Inbound | None) -> dict[str, str]:
+    """Return what a request is found by in the logs."""
+    if inbound is None:
+        return {}
+    names = {'attempt': inbound.attempt}
+    if inbound.turn.program is not None:
+        names['program'] = inbound.turn.program
+    return names
