--- a/src/acaciaramp/assembly.py
+++ b/src/acaciaramp/assembly.py
@@ -108,6 +108,7 @@
     return Timing(
         heartbeat_ms=times.heartbeat_ms,
         election_ms=times.election_ms,
+        spread_ms=times.election_ms,
         full_wait_ms=times.full_wait_ms,
         compact_entries=times.compact_entries,
     )
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -32,9 +32,9 @@
 
 _RETRY_AFTER_MS = 300
 # A control leader is elected, and its table here, within this time; a caller
-# waits for it for a part of its own time at most.
-_TABLE_WAIT_MS = 1_500
-_TABLE_WAIT_PART = 0.5
+# waits for it for most of its own time: one that is sent away has lost a try.
+_TABLE_WAIT_MS = 2_500
+_TABLE_WAIT_PART = 0.8
 # Less than a quarter of the objectives, within which a refusal should come.
 _NEW_WAIT_MS = 70
 _UNDER_WAY_WAIT_PART = 0.3
--- a/src/acaciaramp/replication/election.py
+++ b/src/acaciaramp/replication/election.py
@@ -44,13 +44,13 @@
     def skip_wait(self) -> None:
         """Stand for election without waiting, but only with a pre-vote."""
         state = self._state
-        longest_ms = 2 * state.timing.election_ms
+        longest_ms = state.timing.election_ms + state.timing.spread_ms
         state.timer_ms = state.clock.now_ms() - longest_ms
 
     async def wait_for_silence(self) -> None:
         """Return once this replica should stand for election."""
-        election_ms = self._state.timing.election_ms
-        limit_ms = election_ms + self._rng.randint(0, election_ms)
+        timing = self._state.timing
+        limit_ms = timing.election_ms + self._rng.randint(0, timing.spread_ms)
         while True:
             await self._wait_timer(limit_ms)
             if self._state.is_voter:
--- a/src/acaciaramp/replication/replica.py
+++ b/src/acaciaramp/replication/replica.py
@@ -13,6 +13,7 @@
 from acaciaramp.replication.leading import Leading
 from acaciaramp.replication.requests import bounded
 from acaciaramp.replication.state import ReplicaState, Role
+from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
     import random
@@ -27,6 +28,8 @@
     from acaciaramp.replication.store import Store
     from acaciaramp.replication.timing import Timing
 
+logger = get_logger('replication')
+
 _encode = msgspec.msgpack.Encoder().encode
 
 
@@ -190,7 +193,10 @@
         await self._leading.propose(msgs.EntryKind.MEMBERS, _encode(members))
 
     async def hand_over(self) -> None:
-        """Ask the replica that has most to lead in place of this one."""
+        """Ask the replica that has most to lead in place of this one.
+
+        When this returns another one leads, or this one goes on.
+        """
         if not self.can_hand_over:
             return
         others = [item for item in self.members.voters if item != self.me]
@@ -199,8 +205,14 @@
         self._state.notify()
         try:
             await self._request(best.instance, msgs.HandoverRequest(self.term))
-        except PeerError:
-            return
+            await self._wait_relieved()
+        except (PeerError, TimeoutError):
+            logger.warning(
+                'Nobody has taken leadership over.',
+                asked=best.instance,
+                term=self.term,
+            )
+            self._leading.is_handing_over = False
 
     async def probe(self, instance: InstanceId) -> Member | None:
         """Return the replica at an instance outside the members, if it is up.
@@ -240,6 +252,17 @@
                 self._election.stand_now()
                 return self._following.mismatch(0)
 
+    async def _wait_relieved(self) -> None:
+        """Return once this replica leads no more.
+
+        Raises:
+            TimeoutError: The replica that was asked to does not lead.
+        """
+        state = self._state
+        with state.clock.timeout(state.timing.election_ms):
+            while state.role is Role.LEADER:
+                await state.wait_change()
+
     def _is_settled(self) -> bool:
         """Return whether the newest members are committed."""
         return self.log.members_entry()[0] <= self.commit
--- a/src/acaciaramp/roles/common.py
+++ b/src/acaciaramp/roles/common.py
@@ -41,6 +41,7 @@
 LOG_TIMING = Timing(
     heartbeat_ms=100,
     election_ms=350,
+    spread_ms=350,
     request_ms=500,
     full_wait_ms=0,
     compact_entries=3_000,
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -138,12 +138,15 @@
         protocol = functools.partial(
             ForwardingProtocol, self._router, base.metrics
         )
-        async with serving(self._app, ports, protocol):
+        async with serving(self._app, ports, protocol) as server:
             await stop.wait()
             self._gateway.is_stopping = True
             logger.info('Stopping.', under_way=self._gateway.under_way)
             await base.clock.sleep_ms(_NOTICE_MS)
             await self._finish()
+            # Whoever is served still would be waited for until the process
+            # is killed.
+            server.force_exit = self._is_busy()
         logger.info('Stopped.', under_way=self._gateway.under_way)
 
     async def _app(self, scope: Any, receive: Any, send: Any) -> None:
--- a/src/acaciaramp/util/webserver.py
+++ b/src/acaciaramp/util/webserver.py
@@ -43,6 +43,8 @@
 ) -> AsyncIterator[uvicorn.Server]:
     """Serve ``app`` while the body runs; requests under way then end whole.
 
+    The server is yielded; with ``force_exit`` set it waits for no request.
+
     Args:
         app: The application.
         socks: Bound sockets.
--- a/tests/coordination/test_leader.py
+++ b/tests/coordination/test_leader.py
@@ -47,7 +47,13 @@
     from acaciaramp.replication import messages as msgs
 
 ENTRY = build.node('e-1', RoleName.ENTRY)
-TIMING = Timing(heartbeat_ms=10, election_ms=60, request_ms=50, full_wait_ms=0)
+TIMING = Timing(
+    heartbeat_ms=10,
+    election_ms=60,
+    spread_ms=60,
+    request_ms=50,
+    full_wait_ms=0,
+)
 RATED = RatedWorkspace(
     name=build.WORKSPACE, keys=(), rate_per_s=1_000, burst=100
 )
--- a/tests/replication/fuzz.py
+++ b/tests/replication/fuzz.py
@@ -36,6 +36,7 @@
 TIMING = Timing(
     heartbeat_ms=20,
     election_ms=100,
+    spread_ms=100,
     request_ms=60,
     full_wait_ms=10,
     compact_entries=12,
--- a/tests/replication/test_group.py
+++ b/tests/replication/test_group.py
@@ -22,7 +22,13 @@
 
 
 A = Member(InstanceId('a'), '0')
-TIMING = Timing(heartbeat_ms=10, election_ms=60, request_ms=50, full_wait_ms=0)
+TIMING = Timing(
+    heartbeat_ms=10,
+    election_ms=60,
+    spread_ms=60,
+    request_ms=50,
+    full_wait_ms=0,
+)
 
 
 class Cluster:
--- a/tests/replication/test_rules.py
+++ b/tests/replication/test_rules.py
@@ -359,3 +359,34 @@
         return replica.term
 
     assert anyio.run(scenario) == 1
+
+
+@pytest.mark.parametrize('is_asked', [True, False])
+def test_leader_goes_on_when_nobody_takes_over(is_asked: bool) -> None:
+    async def scenario() -> bool:
+        async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+            if isinstance(req, msgs.VoteRequest):
+                term = req.term - req.is_pre_vote
+                return msgs.VoteReply(term, Member(target, '0'), True)
+            if isinstance(req, msgs.HandoverRequest):
+                if is_asked:
+                    return msgs.AppendReply(1, B, False, 0)
+                raise PeerError('gone')
+            assert isinstance(req, msgs.AppendRequest)
+            match = req.previous_index + len(req.entries)
+            return msgs.AppendReply(1, Member(target, '0'), True, match)
+
+        clock = ManualClock()
+        replica = new_replica(send, clock)
+        async with anyio.create_task_group() as tasks:
+            await stand(replica, clock, tasks)
+            tasks.start_soon(replica.hand_over)
+            await anyio.wait_all_tasks_blocked()
+            assert replica.is_ready is not is_asked
+            clock.advance(Timing().election_ms)
+            await anyio.wait_all_tasks_blocked()
+            is_ready = replica.is_ready
+            tasks.cancel_scope.cancel()
+        return is_ready
+
+    assert anyio.run(scenario)
--- /dev/null
+++ b/tests/util/test_pauses.py
@@ -0,0 +1,34 @@
+"""A process that stood still says so when it goes on."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from acaciaramp.clock import ManualClock
+from acaciaramp.util import pauses
+
+
+@pytest.mark.parametrize(('late_ms', 'noted'), [(3_000, [3_000]), (50, [])])
+def test_a_pause_is_noted_once(
+    monkeypatch: pytest.MonkeyPatch, late_ms: int, noted: list[int]
+) -> None:
+    found: list[int] = []
+
+    def note(_: str, *, paused_ms: int) -> None:
+        found.append(paused_ms)
+
+    monkeypatch.setattr(pauses.logger, 'warning', note)
+
+    async def scenario() -> None:
+        clock = ManualClock()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pauses.note_pauses, clock)
+            for passed_ms in (500, 500 + late_ms, 500):
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(passed_ms)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+    assert found == noted
