--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -37,7 +37,8 @@
 _TABLE_WAIT_PART = 0.8
 # Less than a quarter of the objectives, within which a refusal should come.
 _NEW_WAIT_MS = 70
-_UNDER_WAY_WAIT_PART = 0.3
+# A call that is refused ends its program, so that it waits for most of its time.
+_UNDER_WAY_WAIT_PART = 0.6
 
 
 class Gateway:
