--- a/src/acaciaramp/cmd/role.py
+++ b/src/acaciaramp/cmd/role.py
@@ -31,15 +31,7 @@
 
 def main() -> None:
     """Run until SIGTERM or SIGINT; no request is cut."""
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if path is None:
-        sys.stderr.write(f'{SETTINGS_VARIABLE} names no settings file\n')
-        sys.exit(_EXIT_USAGE)
-    try:
-        cfg = load_node_settings(path)
-    except AcaciarampError as exc:
-        sys.stderr.write(f'{exc}\n')
-        sys.exit(_EXIT_FAILURE)
+    path, cfg = _settings()
     configure_json_logs(cfg.instance)
 
     # Its default would end the process; the file is read again when needed.
@@ -55,7 +47,24 @@
             tasks.cancel_scope.cancel()
         logger.info('The process ends.')
 
-    run_daemon(daemon)
+    try:
+        run_daemon(daemon)
+    except Exception as exc:
+        logger.failure('The process fails.', exc)
+        raise
+
+
+def _settings() -> tuple[str, NodeSettings]:
+    """Return the settings file and what it holds, or end the process."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        sys.stderr.write(f'{SETTINGS_VARIABLE} names no settings file\n')
+        sys.exit(_EXIT_USAGE)
+    try:
+        return path, load_node_settings(path)
+    except AcaciarampError as exc:
+        sys.stderr.write(f'{exc}\n')
+        sys.exit(_EXIT_FAILURE)
 
 
 def _on_reload(*_: object) -> None:
--- a/src/acaciaramp/conversations/replica.py
+++ b/src/acaciaramp/conversations/replica.py
@@ -20,12 +20,7 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import Counter
 from acaciaramp.peering.messages import Channel
-from acaciaramp.replication.errors import (
-    LeadershipLostError,
-    NotLeaderError,
-    PeerError,
-)
-from acaciaramp.verdicts import Verdict
+from acaciaramp.replication.errors import PeerError
 
 if TYPE_CHECKING:
     from acaciaramp.ids import InstanceId
@@ -98,16 +93,7 @@
     async def _propose(
         self, command: OpenTurn | CloseTurn
     ) -> OpenReply | CloseReply:
-        try:
-            reply = await self.group.propose(_encode(command))
-        except NotLeaderError as exc:
-            raise CallError(
-                ErrorCode.NOT_LEADER, str(exc), leader=exc.leader
-            ) from None
-        except LeadershipLostError as exc:
-            raise CallError(
-                ErrorCode.NOT_LEADER, str(exc), Verdict.MAY_HAVE_RUN
-            ) from None
+        reply = await self.group.propose_for_caller(_encode(command))
         if not isinstance(reply, (OpenReply, CloseReply)):
             raise CallError(ErrorCode.INTERNAL, 'a command gave no reply')
         if isinstance(reply, OpenReply):
--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -37,13 +37,8 @@
 from acaciaramp.coordination.retiring import judge, progress_of
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import Counter, GrantOutcome
-from acaciaramp.replication.errors import (
-    LeadershipLostError,
-    NotLeaderError,
-)
 from acaciaramp.settings.node import RoleName
 from acaciaramp.util.logs import get_logger
-from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -261,16 +256,7 @@
         self,
         command: StoreTable | ReadState | SeedLedger | Retire | StoreRates,
     ) -> StateReply:
-        try:
-            reply = await self._group.propose(encode(command))
-        except NotLeaderError as exc:
-            raise CallError(
-                ErrorCode.NOT_LEADER, str(exc), leader=exc.leader
-            ) from None
-        except LeadershipLostError as exc:
-            raise CallError(
-                ErrorCode.NOT_LEADER, str(exc), Verdict.MAY_HAVE_RUN
-            ) from None
+        reply = await self._group.propose_for_caller(encode(command))
         if not isinstance(reply, StateReply):
             raise CallError(ErrorCode.INTERNAL, 'a command gave no state')
         return reply
--- a/src/acaciaramp/replication/group.py
+++ b/src/acaciaramp/replication/group.py
@@ -8,11 +8,13 @@
 
 import anyio
 
+from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.replication.errors import LeadershipLostError, NotLeaderError
 from acaciaramp.replication.members import Member, Members
 from acaciaramp.replication.repair import next_change
 from acaciaramp.replication.replica import Replica
 from acaciaramp.util.logs import get_logger
+from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -139,6 +141,24 @@
             self._fail(exc)
             raise NotLeaderError(None) from None
 
+    async def propose_for_caller(self, payload: bytes) -> object:
+        """Return what applying a command gave, once it lasts.
+
+        Raises:
+            CallError: Another replica leads, or none does; the verdict tells
+                whether the command may be committed later.
+        """
+        try:
+            return await self.propose(payload)
+        except NotLeaderError as exc:
+            raise CallError(
+                ErrorCode.NOT_LEADER, str(exc), leader=exc.leader
+            ) from None
+        except LeadershipLostError as exc:
+            raise CallError(
+                ErrorCode.NOT_LEADER, str(exc), Verdict.MAY_HAVE_RUN
+            ) from None
+
     async def mind_members(self) -> None:
         """Replace members that failed or have to leave, while it leads."""
         while True:
--- a/src/acaciaramp/roles/common.py
+++ b/src/acaciaramp/roles/common.py
@@ -40,8 +40,8 @@
 # A majority is enough: it outnumbers the disks that may be lost at once.
 LOG_TIMING = Timing(
     heartbeat_ms=100,
-    election_ms=350,
-    spread_ms=350,
+    election_ms=300,
+    spread_ms=150,
     request_ms=500,
     full_wait_ms=0,
     compact_entries=3_000,
--- a/src/acaciaramp/util/logs.py
+++ b/src/acaciaramp/util/logs.py
@@ -89,6 +89,15 @@
     """
     _Target.lines = JsonLines(instance)
     _quiet_libraries(standard_logging.ERROR)
+    standard_logging.getLogger().addHandler(_LibraryHandler())
+
+
+class _LibraryHandler(standard_logging.Handler):
+    """Writes what libraries log in the form of all lines."""
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Write one line."""
+        get_logger('library').error(record.getMessage(), logger=record.name)
 
 
 def _quiet_libraries(level: int) -> None:
--- /dev/null
+++ b/tests/util/test_logs.py
@@ -0,0 +1,38 @@
+"""What libraries log has the form of all lines."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+from typing import TYPE_CHECKING
+
+from acaciaramp.util import logs
+from acaciaramp.util.jsonlines import JsonLines
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def test_lines_of_libraries_are_objects(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    reader, writer = os.pipe()
+    root = logging.getLogger()
+    handlers = list(root.handlers)
+    monkeypatch.setattr(
+        logs, 'JsonLines', lambda instance: JsonLines(instance, writer)
+    )
+    monkeypatch.setattr(logs._Target, 'lines', None)
+    try:
+        logs.configure_json_logs('entry-1')
+        logging.getLogger('uvicorn.error').error('answer %s', 'missing')
+    finally:
+        for added in set(root.handlers) - set(handlers):
+            root.removeHandler(added)
+        os.close(writer)
+    with os.fdopen(reader) as lines:
+        line = json.loads(lines.readline())
+    assert line['process'] == 'entry-1'
+    assert line['event'] == 'answer missing'
+    assert line['logger'] == 'uvicorn.error'
