Match names of scenarios without the blank behind them

behave ends the name of an example with a blank, so that KNOWN-RED.txt could not name one: its lines are stripped. Checked by a report over the two names.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -60,7 +60,7 @@
         """Take note of every scenario that was run."""
         for feature in features:
             for scenario in feature.walk_scenarios():
-                name = f'{feature.filename}::{scenario.name}'
+                name = f'{feature.filename}::{scenario.name.strip()}'
                 if scenario.status.name == 'passed':
                     self.passed.add(name)
                 elif scenario.skip_reason == PART_VARIABLE:
