Make the test of old connections able to fail

Its connections had never been used, so that the pool closed them at once and nothing was idle: the test passed with the loop that it is about. With idle connections and a close that yields, the old loop fails it and the present one passes.

--- a/tests/forwarding/test_connections.py
+++ b/tests/forwarding/test_connections.py
@@ -5,11 +5,12 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from acaciaramp.clock import ManualClock
 from acaciaramp.endpoints.failures import EndpointError, Failure
-from acaciaramp.forwarding.connections import Connections
+from acaciaramp.forwarding.connections import Connection, Connections
 from acaciaramp.verdicts import Verdict
 from tests.forwarding.endpoint import ScriptedEndpoint
 
@@ -61,9 +62,17 @@
     anyio.run(whole)
 
 
-def test_old_connections_are_closed_while_others_come_back() -> None:
+def test_old_connections_are_closed_while_others_come_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     clock = ManualClock()
 
+    async def close_slowly(_: Connection) -> None:
+        await anyio.lowlevel.checkpoint()
+
+    monkeypatch.setattr(Connection, 'aclose', close_slowly)
+    monkeypatch.setattr(Connection, 'can_be_kept', lambda _: True)
+
     async def scenario(pool: Connections, endpoint: Endpoint) -> None:
         held = [await pool.acquire(endpoint) for _ in range(MOST)]
         for conn in held:
