Keep the verdict of earlier attempts, and wake those who wait for the end of steps and pauses

Cause: a retry that got no slot ended its step with the verdict of the queue (not_run) though an earlier attempt may have run, so that its reservation was given back; a step that queued while all slots were busy slept past the end of a pause that began later; wait_until_idle waited for a change of a run that had been cancelled with its cell's tasks.

Ruled out: a verdict in the scheduler's refusal, which knows no attempts.

The backoff's exponent is bounded as well.

--- a/src/acaciaramp/programs/runner.py
+++ b/src/acaciaramp/programs/runner.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import StepNumber
@@ -15,6 +16,7 @@
 from acaciaramp.programs.runs import StepRun
 from acaciaramp.records import Answer, Program, ProgramState, Step
 from acaciaramp.util.logs import get_logger
+from acaciaramp.verdicts import combine_verdicts
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -73,6 +75,7 @@
         self._metrics = metrics
         self._tasks = tasks
         self._runs: dict[tuple[ProgramId, StepNumber], StepRun] = {}
+        self._run_removed = anyio.Event()
 
     @property
     def running_count(self) -> int:
@@ -93,9 +96,11 @@
         self, record: Program, number: StepNumber
     ) -> None:
         """Return once a step exists or the step before it is not running."""
-        previous = record.program, StepNumber(number - 1)
-        while previous in self._runs and number not in record.steps:
-            await self._runs[previous].wait_change()
+        previous = self.find(record.program, StepNumber(number - 1))
+        if previous is None:
+            return
+        while not previous.is_finished and number not in record.steps:
+            await previous.wait_change()
 
     def redirect_readers(self) -> None:
         """Fail all runs for their readers, as the leadership was lost.
@@ -109,8 +114,7 @@
     async def wait_until_idle(self) -> None:
         """Return once no step is running."""
         while self._runs:
-            run = next(iter(self._runs.values()))
-            await run.wait_change()
+            await self._run_removed.wait()
 
     def start(
         self,
@@ -180,6 +184,8 @@
         if claim is not None:
             claim.release()
         self._runs.pop((record.program, step.number), None)
+        self._run_removed.set()
+        self._run_removed = anyio.Event()
         if record.state is ProgramState.ENDED:
             self._session_releaser.add_program(record)
 
@@ -209,7 +215,7 @@
                 step_verdict(step),
             ).refusal
         except CallError as exc:
-            refusal = exc.refusal
+            refusal = _with_attempts(exc.refusal, step)
         else:
             self._metrics.count(Counter.STEP_CANCELLED)
             refusal = CallError(
@@ -233,3 +239,13 @@
             await self._log.commit(command)
         self._metrics.count(Counter.STEP_FINISHED, step.request.kind)
         run.finish(command.answer)
+
+
+def _with_attempts(refusal: Refusal, step: Step) -> Refusal:
+    """Return the refusal with a verdict that covers all attempts of its step.
+
+    A retry may be refused before it is sent although an earlier attempt has
+    been sent.
+    """
+    verdict = combine_verdicts(refusal.verdict, step_verdict(step))
+    return msgspec.structs.replace(refusal, verdict=verdict)
--- a/src/acaciaramp/scheduling/health.py
+++ b/src/acaciaramp/scheduling/health.py
@@ -10,6 +10,8 @@
 _INITIAL_BACKOFF_MS = 500
 _MAX_BACKOFF_MS = 15_000
 _BACKOFF_FACTOR = 2
+# Further failures in a row do not lengthen the backoff.
+_MAX_BACKOFF_STEPS = 5
 
 
 class EndpointHealth:
@@ -34,7 +36,8 @@
         """Pause the endpoint, longer after each failure in a row."""
         failures = self._failures.get(endpoint, 0) + 1
         self._failures[endpoint] = failures
-        pause_ms = _INITIAL_BACKOFF_MS * _BACKOFF_FACTOR ** (failures - 1)
+        steps = min(failures - 1, _MAX_BACKOFF_STEPS)
+        pause_ms = _INITIAL_BACKOFF_MS * _BACKOFF_FACTOR**steps
         self._paused_until_ms[endpoint] = self._clock.now_ms() + min(
             pause_ms, _MAX_BACKOFF_MS
         )
--- a/src/acaciaramp/scheduling/scheduler.py
+++ b/src/acaciaramp/scheduling/scheduler.py
@@ -134,6 +134,7 @@
                 failure=error.failure.value,
             )
         self._health.record_failure(endpoint.id)
+        self._wake_waiters()
 
     def record_success(self, endpoint: Endpoint) -> None:
         """Record an answered attempt and end a pause of its endpoint."""
@@ -148,7 +149,7 @@
                 return
             waiter.chosen = chosen
             queue.remove(waiter)
-            waiter.ready.set()
+            waiter.wake()
 
     async def _wait_for_slot(
         self, service: Service, record: Program, step: Step
@@ -196,14 +197,20 @@
         while waiter.chosen is None:
             pause_ms = self._shortest_pause_ms(service)
             if pause_ms is None:
-                await waiter.ready.wait()
+                await waiter.wait_wake()
                 continue
             await self._wait_at_most(waiter, pause_ms)
             self.assign_free_slots(service)
 
     async def _wait_at_most(self, waiter: _Waiter, pause_ms: int) -> None:
         with contextlib.suppress(TimeoutError), self._clock.timeout(pause_ms):
-            await waiter.ready.wait()
+            await waiter.wait_wake()
+
+    def _wake_waiters(self) -> None:
+        """Let queued steps wait for the end of a pause that has just begun."""
+        for queue in self._queues.values():
+            for waiter in queue:
+                waiter.wake()
 
     def _release_assigned_slot(self, service: Service, waiter: _Waiter) -> None:
         if waiter.chosen is not None:
@@ -263,8 +270,8 @@
         self.record = record
         self.step = step
         self.order = order
-        self.ready = anyio.Event()
         self.chosen: tuple[Endpoint, Reason] | None = None
+        self._woken = anyio.Event()
 
     @property
     def assignment(self) -> tuple[Endpoint, Reason]:
@@ -273,6 +280,15 @@
             raise LookupError('the queued step has no endpoint assigned')
         return self.chosen
 
+    def wake(self) -> None:
+        """Let ``wait_wake`` return, as a slot or a pause may have changed."""
+        self._woken.set()
+
+    async def wait_wake(self) -> None:
+        """Return after the next call of ``wake``, or one that was missed."""
+        await self._woken.wait()
+        self._woken = anyio.Event()
+
 
 def _priority(waiter: _Waiter) -> tuple[bool, int, int]:
     is_new = waiter.step.number == 1
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -187,3 +187,35 @@
         fixture.scheduler.try_acquire_slot(fixture.service, record, step())
         is None
     )
+
+
+def test_queued_step_gets_the_endpoint_when_a_later_pause_ends() -> None:
+    async def scenario() -> None:
+        fixture = Fixture({'engine-1': 'http://127.0.0.1:1'})
+        release = anyio.Event()
+        error = EndpointError(Failure.CONNECT, Verdict.NOT_RUN, 'down')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fixture.occupy, 'first', step(), release)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(fixture.occupy, 'queued', step(2), release)
+            await anyio.wait_all_tasks_blocked()
+            fixture.scheduler.record_failure(
+                fixture.registry.endpoints['engine-1'], error
+            )
+            release.set()
+            await anyio.wait_all_tasks_blocked()
+            fixture.clock.advance(500)
+            await anyio.wait_all_tasks_blocked()
+            assert fixture.order == ['first@engine-1', 'queued@engine-1']
+
+    anyio.run(scenario)
+
+
+def test_pause_stays_bounded_after_many_failures() -> None:
+    fixture = Fixture(_ENGINES)
+    failed = fixture.registry.endpoints['engine-1']
+    error = EndpointError(Failure.CONNECT, Verdict.NOT_RUN, 'down')
+    for _ in range(5_000):
+        fixture.scheduler.record_failure(failed, error)
+    fixture.clock.advance(15_000)
+    assert acquired_endpoint(fixture, build.program()) == 'engine-1'
