--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -58,12 +58,17 @@
 
 
 class _State(msgspec.Struct):
-    """Content of a snapshot; dictionaries are encoded as lists of entries."""
+    """Content of a snapshot; dictionaries are encoded as lists of entries.
+
+    The number of commands decides when expired state is removed, which must
+    happen at the same command on each replica.
+    """
 
     now_ms: int
     turns: list[tuple[WorkspaceId, str, RetainedTurn]]
     accounts: list[tuple[WorkspaceId, ProgramId, Account]]
     ended: list[tuple[TurnKey, int]] = []
+    commands: int = 0
 
 
 _state_decoder = msgspec.msgpack.Decoder(_State)
@@ -100,7 +105,9 @@
         ]
         accounts = [(*key, account) for key, account in self._accounts.items()]
         ended = list(self._ended.items())
-        return _encode(_State(self._now_ms, turns, accounts, ended))
+        return _encode(
+            _State(self._now_ms, turns, accounts, ended, self._commands)
+        )
 
     def restore(self, state: bytes) -> None:
         """Replace the state by an encoded one; empty bytes reset it."""
@@ -108,10 +115,12 @@
         self._accounts = {}
         self._ended = {}
         self._now_ms = 0
+        self._commands = 0
         if not state:
             return
         stored = _state_decoder.decode(state)
         self._now_ms = stored.now_ms
+        self._commands = stored.commands
         for workspace, attempt, turn in stored.turns:
             self._turns[TurnKey(workspace, attempt)] = turn
         for owner, program, account in stored.accounts:
--- a/src/acaciaramp/storage/journal.py
+++ b/src/acaciaramp/storage/journal.py
@@ -36,15 +36,24 @@
     """A journal file, open for appending."""
 
     def __init__(self, path: pathlib.Path) -> None:
-        """Open the journal for appending.
+        """Open the journal for appending; sync what it holds.
+
+        Records that a previous process wrote without a sync have been read back
+        and count from now on, so they must be durable.
 
         Args:
             path: The file; ``read_journal`` must have truncated its torn tail.
+
+        Raises:
+            OSError: The disk has failed.
         """
         self._file = path.open('ab', buffering=0)
         self._written_bytes = self._file.seek(0, os.SEEK_END)
-        self._synced_bytes = 0
+        if self._written_bytes:
+            os.fsync(self._file.fileno())
+        self._synced_bytes = self._written_bytes
         self._is_closed = False
+        self._is_replaced = False
         self._written_records = 0
         self._synced_records = 0
         self._lock = Lock()
@@ -55,6 +64,8 @@
         Raises:
             OSError: The disk is full or has failed.
         """
+        if self._is_closed:
+            raise OSError('the journal is closed')
         encoded = encode_record(record, self._synced_bytes)
         if self._file.write(encoded) != len(encoded):
             raise OSError('the disk is full')
@@ -64,16 +75,19 @@
     async def sync(self) -> None:
         """Return once all records written so far are durable.
 
-        Concurrent callers share one ``fsync``. A closed journal needs none: it
-        has been replaced by a durable one that covers its records.
+        Concurrent callers share one ``fsync``. A journal that was replaced
+        needs none: the durable one in its place covers its records.
 
         Raises:
-            OSError: The disk has failed.
+            OSError: The disk has failed, or the journal is closed and none has
+                replaced it.
         """
         target_records = self._written_records
         async with self._lock:
-            if self._synced_records >= target_records or self._is_closed:
+            if self._synced_records >= target_records or self._is_replaced:
                 return
+            if self._is_closed:
+                raise OSError('the journal is closed')
             synced_records = self._written_records
             synced_bytes = self._written_bytes
             await run_sync(os.fsync, self._file.fileno())
@@ -92,6 +106,10 @@
         self._synced_records = self._written_records
         self._synced_bytes = self._written_bytes
 
+    def mark_replaced(self) -> None:
+        """Record that a durable journal has taken the place of this one."""
+        self._is_replaced = True
+
     def close(self) -> None:
         """Close the file; a sync under way closes it at its end."""
         self._is_closed = True
--- a/src/acaciaramp/storage/store.py
+++ b/src/acaciaramp/storage/store.py
@@ -100,17 +100,17 @@
             OSError: The disk is full or has failed.
         """
         replace_file(self._snapshot_path, _encode(snapshot))
-        self._journal.close()
         new_path = self._journal_path.with_suffix('.new')
         new_path.unlink(missing_ok=True)
         journal = Journal(new_path)
-        journal.append(_encode(VoteRecord(self._vote)))
-        journal.append(_encode(EntriesRecord(snapshot.index + 1, entries)))
-        journal.sync_blocking()
-        new_path.replace(self._journal_path)
-        # Later entries go to the new file, so its name must be durable first.
-        sync_folder(self.folder)
-        self._journal = journal
+        try:
+            journal.append(_encode(VoteRecord(self._vote)))
+            journal.append(_encode(EntriesRecord(snapshot.index + 1, entries)))
+            journal.sync_blocking()
+        except OSError:
+            journal.close()
+            raise
+        self._replace_journal(journal, new_path)
 
     async def sync(self) -> None:
         """Return once all previous writes are durable.
@@ -128,6 +128,18 @@
             return False
         return True
 
+    def _replace_journal(self, journal: Journal, path: pathlib.Path) -> None:
+        """Continue in a new journal that holds what the old one is needed for.
+
+        If its name cannot be made durable, nothing more can be written.
+        """
+        self._journal.close()
+        path.replace(self._journal_path)
+        # Later entries go to the new file, so its name must be durable first.
+        sync_folder(self.folder)
+        self._journal.mark_replaced()
+        self._journal = journal
+
     def _recover(self) -> StoredState:
         encoded = read_file(self._snapshot_path)
         snapshot = None
--- a/tests/conversations/test_ledger.py
+++ b/tests/conversations/test_ledger.py
@@ -198,3 +198,17 @@
         late_ms = ENDED_RETENTION_MS + 1
         close_turn(ledger, str(number), program=None, at_ms=late_ms)
     assert open_turn(ledger, 'a').outcome is OpenOutcome.OPENED
+
+
+def test_replicas_remove_expired_turns_at_the_same_command() -> None:
+    original = Ledger()
+    retain(original, 'old', b'content')
+    for number in range(200):
+        open_turn(original, f'a{number}')
+    restored = Ledger()
+    restored.restore(original.snapshot())
+    for number in range(200):
+        for ledger in (original, restored):
+            open_turn(ledger, f'b{number}', at_ms=5_000)
+        assert restored.snapshot() == original.snapshot()
+    assert original.chain_of(key('old')) is None
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import os
 import pathlib
 
 import anyio
@@ -16,7 +17,7 @@
 from acaciaramp.storage import files as files_module
 from acaciaramp.storage import store as store_module
 from acaciaramp.storage.files import read_file, replace_file
-from acaciaramp.storage.journal import CorruptionError
+from acaciaramp.storage.journal import CorruptionError, Journal
 from acaciaramp.storage.store import DiskStore
 
 
@@ -165,3 +166,63 @@
 
     anyio.run(functools.partial(scenario, DiskStore(tmp_path)))
     assert len(DiskStore(tmp_path).load().entries) == 19
+
+
+def test_reopened_journal_is_synced_before_it_counts(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A killed process leaves written records that no sync has covered.
+    killed = DiskStore(tmp_path)
+    killed.append(1, entries(b'1'))
+    synced: list[str] = []
+    fsync = os.fsync
+
+    def record_sync(handle: int) -> None:
+        synced.append(os.readlink(f'/proc/self/fd/{handle}'))
+        fsync(handle)
+
+    monkeypatch.setattr(os, 'fsync', record_sync)
+    reopened = DiskStore(tmp_path)
+    assert reopened.load().entries == entries(b'1')
+    anyio.run(reopened.sync)
+    assert str(tmp_path / 'journal') in synced
+
+
+def test_failed_snapshot_leaves_a_journal_that_can_be_written(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    store = filled_store(tmp_path)
+
+    def fail(_: Journal) -> None:
+        raise OSError('no space left on device')
+
+    with monkeypatch.context() as patches:
+        patches.setattr(Journal, 'sync_blocking', fail)
+        with pytest.raises(OSError, match='no space'):
+            store.save_snapshot(Snapshot(3, 1, Members(())), entries(b'y'))
+    store.append(5, entries(b'z'))
+    anyio.run(store.sync)
+    assert DiskStore(tmp_path).load().entries == entries(b'y', b'z')
+
+
+def test_nothing_is_acknowledged_without_the_name_of_the_new_journal(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    store = filled_store(tmp_path)
+    store.append(5, entries(b'z'))
+    rename = pathlib.Path.replace
+
+    def fail_for_journal(
+        path: pathlib.Path, target: pathlib.Path
+    ) -> pathlib.Path:
+        if target.name == 'journal':
+            raise OSError('input/output error')
+        return rename(path, target)
+
+    monkeypatch.setattr(pathlib.Path, 'replace', fail_for_journal)
+    with pytest.raises(OSError, match='input/output'):
+        store.save_snapshot(Snapshot(3, 1, Members(())), entries(b'y', b'z'))
+    with pytest.raises(OSError, match='closed'):
+        store.append(6, entries(b'?'))
+    with pytest.raises(OSError, match='closed'):
+        anyio.run(store.sync)
