Parse numbers, split line ends, settings and identities strictly

Cause: digits such as U+00B2 and numbers of thousands of digits raised ValueError in headers and event ids; a CRLF that was split over two chunks joined two events; commas before brackets were removed inside strings of settings; a settings or TLS file that changed while it was first read was not read again; of several request ids or keys the last was used and all were forwarded.

--- a/src/acaciaramp/cmd/role.py
+++ b/src/acaciaramp/cmd/role.py
@@ -14,12 +14,7 @@
 from acaciaramp.errors import AcaciarampError
 from acaciaramp.platform.adapter import ADAPTER, SETTINGS_VARIABLE
 from acaciaramp.roles.common import RoleContext
-from acaciaramp.settings.node import (
-    NodeSettings,
-    RoleName,
-    SettingsFile,
-    load_node_settings,
-)
+from acaciaramp.settings.node import NodeSettings, RoleName, SettingsFile
 from acaciaramp.util.logs import configure_json_logs, get_logger
 from acaciaramp.util.pauses import log_pauses
 
@@ -31,7 +26,8 @@
 
 def main() -> None:
     """Run the configured role until SIGTERM or SIGINT, then stop gracefully."""
-    path, cfg = _load_settings_or_exit()
+    file = _load_settings_or_exit()
+    cfg = file.current()
     configure_json_logs(cfg.instance)
 
     # The default action of SIGHUP would end the process. No reload is started
@@ -45,9 +41,7 @@
             first=cfg.first_start,
         )
         async with anyio.create_task_group() as tasks:
-            role_context = RoleContext(
-                SettingsFile(path, cfg), SystemClock(), tasks
-            )
+            role_context = RoleContext(file, SystemClock(), tasks)
             tasks.start_soon(role_context.serve_metrics)
             tasks.start_soon(log_pauses, role_context.clock)
             await _run_role(cfg, role_context, stop)
@@ -63,14 +57,14 @@
         raise
 
 
-def _load_settings_or_exit() -> tuple[str, NodeSettings]:
-    """Return the path and content of the settings file, or exit."""
+def _load_settings_or_exit() -> SettingsFile:
+    """Return the settings file, or exit."""
     path = os.environ.get(SETTINGS_VARIABLE)
     if path is None:
         sys.stderr.write(f'{SETTINGS_VARIABLE} names no settings file\n')
         sys.exit(_EXIT_USAGE)
     try:
-        return path, load_node_settings(path)
+        return SettingsFile(path)
     except AcaciarampError as exc:
         sys.stderr.write(f'{exc}\n')
         sys.exit(_EXIT_FAILURE)
--- a/src/acaciaramp/entry/bodies.py
+++ b/src/acaciaramp/entry/bodies.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.util.numbers import parse_count
 
 if TYPE_CHECKING:
     from starlette.requests import Request
@@ -25,8 +26,8 @@
         ClientDisconnect: The caller disconnected before the end of the body.
     """
     limits = ctx.settings.limits
-    declared = req.headers.get('content-length', '')
-    if declared.isdigit() and int(declared) > limits.body_bytes:
+    declared_bytes = parse_count(req.headers.get('content-length', ''))
+    if declared_bytes is not None and declared_bytes > limits.body_bytes:
         raise _too_large(limits.body_bytes)
     parts = []
     size = 0
--- a/src/acaciaramp/peering/tls.py
+++ b/src/acaciaramp/peering/tls.py
@@ -51,10 +51,10 @@
             TlsError: They cannot be loaded.
         """
         self._files = files
-        self._mtimes_ns: list[int] = []
+        # Taken first, so that a change during the load is noticed.
+        self._mtimes_ns = _mtimes_ns(files)
         self._server = _load_context(files, ssl.PROTOCOL_TLS_SERVER)
         self._client = _load_context(files, ssl.PROTOCOL_TLS_CLIENT)
-        self._mtimes_ns = _mtimes_ns(files)
 
     async def connect(self, stream: ByteStream, host: str) -> ByteStream:
         """Perform the client side of the TLS handshake.
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -15,6 +16,7 @@
 )
 from acaciaramp.ids import ProgramId
 from acaciaramp.platform.statuses import http_status
+from acaciaramp.util.numbers import parse_count
 
 if TYPE_CHECKING:
     from acaciaramp.coordination.messages import Endpoint
@@ -61,6 +63,7 @@
 )
 # Headers of the caller that an endpoint gets with another value or not at all.
 _NOT_FORWARDED = _SYSTEM_HEADERS | {_DEADLINE, b'authorization'}
+_UNIQUE_HEADERS = (_CONTENT_LENGTH, _HOST, _ATTEMPT, b'authorization')
 _MISDIRECTED_STATUS = 421
 _MS_PER_SECOND = 1000
 
@@ -168,15 +171,15 @@
 
 
 def _check_framing(raw: RawHeaders) -> None:
-    """Refuse a request with ambiguous framing or host.
+    """Refuse a request whose framing, host, id or key is ambiguous.
 
-    Two parsers could otherwise disagree on where the request ends or where it
-    is routed (request smuggling).
+    Two parsers could otherwise disagree on where the request ends, where it is
+    routed or whose it is (request smuggling).
     """
-    lengths = [text for name, text in raw if name == _CONTENT_LENGTH]
-    hosts = [text for name, text in raw if name == _HOST]
-    is_chunked = any(name == b'transfer-encoding' for name, _ in raw)
-    if len(lengths) > 1 or len(hosts) > 1 or (lengths and is_chunked):
+    names = collections.Counter(name for name, _ in raw)
+    is_repeated = any(names[name] > 1 for name in _UNIQUE_HEADERS)
+    has_length = _CONTENT_LENGTH in names
+    if is_repeated or (has_length and b'transfer-encoding' in names):
         raise CallError(
             ErrorCode.BAD_REQUEST, 'headers of the request contradict'
         )
@@ -207,11 +210,17 @@
         program=ProgramId(program) if program else None,
         session_id=_text(by_name, b'x-session-id'),
         budget=_int_or_none(by_name, b'x-token-budget'),
-        most_tokens=_int_or_zero(counts[1]) if len(counts) > 1 else 0,
+        most_tokens=_output_tokens(counts),
         previous=_text(by_name, b'x-previous-turn') or None,
     )
 
 
+def _output_tokens(counts: list[str]) -> int:
+    if len(counts) < 2:
+        return 0
+    return parse_count(counts[1].strip()) or 0
+
+
 def _bearer_key(authorization: bytes) -> str | None:
     if authorization[: len(_BEARER)].lower() != _BEARER:
         return None
@@ -220,10 +229,11 @@
 
 def _endpoint_load(text: str) -> EndpointLoad | None:
     """Parse a load ``RUNNING,WAITING,SLOTS``; None if it is malformed."""
-    numbers = text.split(',')
-    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
+    parsed = [parse_count(item.strip()) for item in text.split(',')]
+    numbers = [number for number in parsed if number is not None]
+    if len(parsed) != 3 or len(numbers) != 3:
         return None
-    running, waiting, slots = map(int, numbers)
+    running, waiting, slots = numbers
     return EndpointLoad(running, waiting, slots)
 
 
@@ -231,8 +241,9 @@
     """Return the ``timeout`` of a ``Keep-Alive`` header, milliseconds."""
     for item in text.split(','):
         name, _, seconds = item.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdigit():
-            return int(seconds) * _MS_PER_SECOND
+        timeout_s = parse_count(seconds)
+        if name.lower() == 'timeout' and timeout_s is not None:
+            return timeout_s * _MS_PER_SECOND
     return None
 
 
@@ -241,10 +252,4 @@
 
 
 def _int_or_none(by_name: dict[bytes, bytes], name: bytes) -> int | None:
-    text = _text(by_name, name)
-    return int(text) if text.isdigit() else None
-
-
-def _int_or_zero(text: str) -> int:
-    text = text.strip()
-    return int(text) if text.isdigit() else 0
+    return parse_count(_text(by_name, name))
--- a/src/acaciaramp/settings/node.py
+++ b/src/acaciaramp/settings/node.py
@@ -16,7 +16,8 @@
 logger = get_logger('settings')
 
 _COMMENT_LINE = re.compile(r'^\s*//.*$', re.MULTILINE)
-_TRAILING_COMMA = re.compile(r',(\s*[}\]])')
+# A string, which is kept as it is, or a comma before a closing bracket.
+_STRING_OR_TRAILING_COMMA = re.compile(r'("(?:[^"\\]|\\.)*")|,(?=\s*[}\]])')
 
 
 class RoleName(enum.Enum):
@@ -130,7 +131,7 @@
             a setting that the role requires is missing.
     """
     text = _COMMENT_LINE.sub('', read_text(path))
-    text = _TRAILING_COMMA.sub(r'\1', text)
+    text = _STRING_OR_TRAILING_COMMA.sub(r'\1', text)
     try:
         cfg = msgspec.json.decode(text, type=NodeSettings)
     except (msgspec.DecodeError, msgspec.ValidationError) as exc:
@@ -146,16 +147,17 @@
 class SettingsFile:
     """A settings file that is reloaded when it changes on disk."""
 
-    def __init__(self, path: str, cfg: NodeSettings) -> None:
-        """Watch a file that has been loaded already.
+    def __init__(self, path: str) -> None:
+        """Load the file.
 
-        Args:
-            path: The file.
-            cfg: The settings loaded from it.
+        Raises:
+            FileError: The file cannot be read.
+            NodeSettingsError: The file is invalid.
         """
         self._path = path
-        self._cfg = cfg
+        # Taken first, so that a change during the load is noticed.
         self._fingerprint = _fingerprint(path)
+        self._cfg = load_node_settings(path)
 
     def current(self) -> NodeSettings:
         """Return the settings, reloaded if the file has changed.
--- a/src/acaciaramp/util/sse.py
+++ b/src/acaciaramp/util/sse.py
@@ -4,6 +4,10 @@
 
 from typing import NamedTuple
 
+from acaciaramp.errors import AcaciarampError
+from acaciaramp.util.numbers import parse_count
+
+MAX_EVENT_BYTES = 1_048_576
 _SEPARATOR = b'\n\n'
 _DATA_FIELD = b'data:'
 _ID_FIELD = b'id:'
@@ -22,6 +26,10 @@
     payload: bytes
 
 
+class EventTooLargeError(AcaciarampError):
+    """A stream has more than ``MAX_EVENT_BYTES`` without the end of an event."""
+
+
 class EventParser:
     """Parses a stream of bytes, given chunk by chunk, into events."""
 
@@ -33,9 +41,17 @@
         """Return the events that ``chunk`` completes.
 
         Events without data, such as comments, are skipped.
+
+        Raises:
+            EventTooLargeError: The event that ``chunk`` continues is too large.
         """
-        text = self._buffer + chunk.replace(b'\r\n', b'\n')
+        # A line end may be split over two chunks.
+        text = (self._buffer + chunk).replace(b'\r\n', b'\n')
         *blocks, rest = text.split(_SEPARATOR)
+        if len(rest) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(
+                f'an event has more than {MAX_EVENT_BYTES} bytes'
+            )
         self._buffer = rest
         return [event for event in map(_parse, blocks) if event is not None]
 
@@ -59,5 +75,5 @@
             lines.append(line.removeprefix(_DATA_FIELD).strip())
         elif line.startswith(_ID_FIELD):
             text = line.removeprefix(_ID_FIELD).strip()
-            number = int(text) if text.isdigit() else None
+            number = parse_count(text.decode('latin-1'))
     return Event(number, b'\n'.join(lines)) if lines else None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -185,3 +185,44 @@
     assert status == 429
     assert (b'retry-after', b'0.250') in headers
     assert b'rate_limited' in body
+
+
+@pytest.mark.parametrize('digits', [b'\xb2', b'9' * 5_000, b'-1', b''])
+@pytest.mark.parametrize(
+    'name', [b'x-deadline-ms', b'x-token-budget', b'x-token-counts']
+)
+def test_numbers_that_are_none_are_no_internal_error(
+    name: bytes, digits: bytes
+) -> None:
+    inbound = CODEC.read_request(
+        scope((name, b'1,%s' % digits), (name, digits))
+    )
+    assert inbound.attempt == 'a1'
+
+
+@pytest.mark.parametrize('digits', [b'\xb2', b'9' * 5_000])
+def test_numbers_of_endpoints_that_are_none_are_ignored(digits: bytes) -> None:
+    head = CODEC.read_response(
+        200,
+        [
+            (b'x-instance-load', b'%s,1,2' % digits),
+            (b'keep-alive', b'timeout=\xb2'),
+            (b'content-length', b'\xb2'),
+        ],
+    )
+    assert (head.idle_ms, head.length) == (None, None)
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        (b'x-attempt-id', b'a2'),
+        (b'host', b'other.test'),
+        (b'authorization', b'Bearer k2'),
+    ],
+)
+def test_repeated_identity_is_refused(header: tuple[bytes, bytes]) -> None:
+    headers = scope((b'authorization', b'Bearer k1'), header)
+    with pytest.raises(CallError) as caught:
+        CODEC.read_request(headers)
+    assert caught.value.refusal.code is ErrorCode.BAD_REQUEST
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -11,7 +11,9 @@
 from click.testing import CliRunner
 
 from acaciaramp.cmd.main import main
+from acaciaramp.settings import node as node_module
 from acaciaramp.settings.node import (
+    NodeSettings,
     NodeSettingsError,
     RoleName,
     SettingsFile,
@@ -74,7 +76,7 @@
 
 def test_a_changed_file_is_reloaded(tmp_path: pathlib.Path) -> None:
     path = write_settings(tmp_path)
-    settings_file = SettingsFile(path, load_node_settings(path))
+    settings_file = SettingsFile(path)
     write_settings(tmp_path, seeds=['127.0.0.3:8000'])
     os.utime(path, ns=(1, 1))
     assert settings_file.current().seeds == ('127.0.0.3:8000',)
@@ -84,7 +86,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     path = write_settings(tmp_path)
-    settings_file = SettingsFile(path, load_node_settings(path))
+    settings_file = SettingsFile(path)
     pathlib.Path(path).write_text('{', encoding='utf-8')
     os.utime(path, ns=(1, 1))
     assert settings_file.current().seeds == ('127.0.0.2:8000',)
@@ -99,3 +101,29 @@
     path = write_settings(tmp_path, role='cook')
     bad = runner.invoke(main, ['settings', 'check-role', path])
     assert (bad.exit_code, 'role' in bad.output) == (1, True)
+
+
+def test_commas_and_slashes_in_strings_are_kept(
+    tmp_path: pathlib.Path,
+) -> None:
+    name = r'a,} b,] "c" // d'
+    cfg = load_node_settings(write_settings(tmp_path, instance=name))
+    assert cfg.instance == name
+
+
+def test_a_change_during_the_first_load_is_noticed(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = write_settings(tmp_path)
+    load = node_module.load_node_settings
+
+    def load_and_change(name: str) -> NodeSettings:
+        cfg = load(name)
+        write_settings(tmp_path, seeds=['127.0.0.3:8000'])
+        os.utime(path, ns=(1, 1))
+        return cfg
+
+    with monkeypatch.context() as patches:
+        patches.setattr(node_module, 'load_node_settings', load_and_change)
+        settings_file = SettingsFile(path)
+    assert settings_file.current().seeds == ('127.0.0.3:8000',)
