Replies of peers and failing disks end a request, not the process

Cause: replies that cannot be decoded raised msgspec's errors, or UnicodeDecodeError in frames, and could end a task group; a disk that failed during a membership change ended the group's task; a delayed handover of an earlier term started a campaign; a reply of another kind was asked for again without a pause; crashes of endpoints never expired and could push out a digest in quarantine; a document whose proposer lost leadership was answered as not run.

Ruled out: catching the errors in each task, since the request's caller would wait for its timeout.

Conclusion: one place decodes replies; seven faults found by reading are mended.

--- a/src/acaciaramp/cells/host.py
+++ b/src/acaciaramp/cells/host.py
@@ -251,7 +251,11 @@
     async def _exchange(
         self, target: InstanceId, req: CellRequest
     ) -> CellReply:
-        wire = await send_request(
-            self._links, target, Channel.CELLS, _encode(req), _REPLY_TIMEOUT_MS
+        return await send_request(
+            self._links,
+            target,
+            Channel.CELLS,
+            _encode(req),
+            _REPLY_TIMEOUT_MS,
+            _reply_decoder,
         )
-        return _reply_decoder.decode(wire)
--- a/src/acaciaramp/cells/router.py
+++ b/src/acaciaramp/cells/router.py
@@ -17,6 +17,7 @@
     new_program_id,
 )
 from acaciaramp.peering.messages import Channel
+from acaciaramp.peering.replies import decode_reply
 from acaciaramp.programs import api
 from acaciaramp.verdicts import Verdict, combine_verdicts
 
@@ -206,14 +207,15 @@
         extra_ms: int,
     ) -> api.Reply:
         if instance == self._instance:
-            reply = await self._handle_locally(cell, req)
+            local_reply = await self._handle_locally(cell, req)
             self._leaders[cell] = instance
-            return reply
+            return local_reply
         wire = await self._links[instance].request(
             Channel.PROGRAMS, _encode(req), self._waits.peer_ms + extra_ms
         )
+        reply = decode_reply(_reply_decoder, wire)
         self._leaders[cell] = instance
-        return _reply_decoder.decode(wire)
+        return reply
 
     async def _handle_locally(
         self, cell: InstanceId, req: api.Request
--- a/src/acaciaramp/control/group.py
+++ b/src/acaciaramp/control/group.py
@@ -87,7 +87,6 @@
         self._registry = registry
         self._clock = clock
         self._in_force_since_ms = 0
-        self._is_caught_up = False
         self.state_machine = DocumentStateMachine(self._on_document)
         self.replica = Replica(
             me=me,
@@ -204,8 +203,12 @@
     async def _propose(self, command: bytes) -> ProposalResult:
         try:
             result = await self.replica.propose(command)
-        except (NotLeaderError, LeadershipLostError) as exc:
+        except NotLeaderError as exc:
             raise CallError(ErrorCode.NOT_LEADER, str(exc)) from None
+        except LeadershipLostError as exc:
+            raise CallError(
+                ErrorCode.NOT_LEADER, str(exc), Verdict.MAY_HAVE_RUN
+            ) from None
         if not isinstance(result, ProposalResult):
             raise CallError(ErrorCode.INTERNAL, 'no judgement was given')
         return result
--- a/src/acaciaramp/control/wire.py
+++ b/src/acaciaramp/control/wire.py
@@ -34,10 +34,14 @@
     """
 
     async def exchange(target: InstanceId, req: ctl.Request) -> ctl.Reply:
-        encoded = await send_request(
-            links, target, Channel.CONTROL, _encode(req), _REPLY_TIMEOUT_MS
+        return await send_request(
+            links,
+            target,
+            Channel.CONTROL,
+            _encode(req),
+            _REPLY_TIMEOUT_MS,
+            _reply_decoder,
         )
-        return _reply_decoder.decode(encoded)
 
     return exchange
 
--- a/src/acaciaramp/conversations/client.py
+++ b/src/acaciaramp/conversations/client.py
@@ -18,6 +18,7 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import InstanceId
 from acaciaramp.peering.messages import Channel
+from acaciaramp.peering.replies import decode_reply
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -123,13 +124,14 @@
     ) -> LedgerReply:
         link = self._links.get(target)
         wire = await link.request(Channel.LEDGER, body, wait_ms)
+        reply = decode_reply(_reply_decoder, wire)
         if self._leader != target:
             logger.info(
                 'Found the leader of the ledger; sending requests to it.',
                 instance=target,
             )
             self._leader = target
-        return _reply_decoder.decode(wire)
+        return reply
 
     def _next_target(self) -> InstanceId | None:
         if self._leader is not None:
--- a/src/acaciaramp/conversations/replica.py
+++ b/src/acaciaramp/conversations/replica.py
@@ -20,6 +20,7 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import Counter
 from acaciaramp.peering.messages import Channel
+from acaciaramp.peering.replies import decode_reply
 from acaciaramp.replication.errors import PeerError
 
 if TYPE_CHECKING:
@@ -110,9 +111,9 @@
         body = _encode(LedgerMessage(req))
         try:
             wire = await link.request(Channel.LEDGER, body, _PEER_TIMEOUT_MS)
+            reply = decode_reply(_reply_decoder, wire)
         except CallError as exc:
             raise PeerError(str(exc)) from None
-        reply = _reply_decoder.decode(wire)
         if not isinstance(reply, LedgerMessageReply):
             raise PeerError(f'{target} gave a reply of another kind')
         return reply.body
--- a/src/acaciaramp/coordination/codec.py
+++ b/src/acaciaramp/coordination/codec.py
@@ -6,6 +6,7 @@
 
 from acaciaramp.coordination.messages import ControlReply, ControlRequest
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.peering import replies as peering_replies
 
 encode = msgspec.msgpack.Encoder().encode
 _request_decoder = msgspec.msgpack.Decoder(ControlRequest)
@@ -30,7 +31,4 @@
     Raises:
         CallError: The bytes are not an encoded reply.
     """
-    try:
-        return _reply_decoder.decode(encoded)
-    except msgspec.DecodeError as exc:
-        raise CallError(ErrorCode.INTERNAL, f'malformed: {exc}') from None
+    return peering_replies.decode_reply(_reply_decoder, encoded)
--- a/src/acaciaramp/coordination/follower.py
+++ b/src/acaciaramp/coordination/follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, TypeVar, cast
 
 from acaciaramp.coordination.codec import decode_reply, encode
 from acaciaramp.coordination.messages import (
@@ -19,6 +19,7 @@
 from acaciaramp.metrics.names import Counter
 from acaciaramp.peering.messages import Channel
 from acaciaramp.util.logs import get_logger
+from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,11 +106,11 @@
                 reply = await self._send_to(
                     target, req, self._report_timeout_ms(target)
                 )
+                _check_type(reply, FollowReply)
             except CallError as exc:
                 await self._clock.sleep_ms(self._on_failure(target, exc))
                 continue
-            if isinstance(reply, FollowReply):
-                self._on_reply(target, reply)
+            self._on_reply(target, cast('FollowReply', reply))
 
     async def request(
         self, req: ControlRequest, reply_type: type[_Reply], timeout_ms: int
@@ -118,8 +119,7 @@
 
         Args:
             req: The request; it must be idempotent.
-            reply_type: Type of its reply; another type is ignored and the
-                request sent again.
+            reply_type: Type of its reply; another type counts as a failure.
             timeout_ms: Timeout of all attempts together, milliseconds.
 
         Raises:
@@ -134,13 +134,13 @@
                 reply = await self._send_to(
                     target, req, min(_ATTEMPT_TIMEOUT_MS, remaining_ms)
                 )
+                _check_type(reply, reply_type)
             except CallError as exc:
                 failure = exc
                 await self._clock.sleep_ms(self._on_failure(target, exc))
                 continue
-            if isinstance(reply, reply_type):
-                self._leader = target
-                return reply
+            self._leader = target
+            return cast('_Reply', reply)
         raise failure
 
     def silence_ms(self) -> int | None:
@@ -214,3 +214,19 @@
             self._number = reply.number
             self.view = reply.view
             self._on_view(reply.view)
+
+
+def _check_type(
+    reply: ControlReply, expected: type[FollowReply] | type[_Reply]
+) -> None:
+    """Check the type of a reply.
+
+    Raises:
+        CallError: It is the reply to another request.
+    """
+    if not isinstance(reply, expected):
+        raise CallError(
+            ErrorCode.INTERNAL,
+            'the reply is of another kind',
+            Verdict.MAY_HAVE_RUN,
+        )
--- a/src/acaciaramp/coordination/quarantine.py
+++ b/src/acaciaramp/coordination/quarantine.py
@@ -38,23 +38,46 @@
 
     def record_crash(self, report: CrashReport) -> None:
         """Record that an endpoint crashed while it ran a request."""
-        crashes = self._crashes.setdefault(report.digest, {})
+        crashes = self._recent_crashes(report.digest)
+        was_active = len(crashes) >= _CRASH_THRESHOLD
         crashes[report.endpoint] = self._clock.now_ms()
-        if len(crashes) == _CRASH_THRESHOLD:
+        # The digest with the newest crash is the last one to be dropped.
+        self._crashes.pop(report.digest, None)
+        self._crashes[report.digest] = crashes
+        if len(crashes) >= _CRASH_THRESHOLD and not was_active:
             logger.warning(
                 'Quarantined a request that crashed endpoints; refusing it.',
                 digest=report.digest,
                 endpoints=sorted(crashes),
             )
         if len(self._crashes) > _MAX_TRACKED_DIGESTS:
-            self._crashes.pop(next(iter(self._crashes)))
+            self._drop_one()
 
     def active_digests(self) -> tuple[str, ...]:
         """Return the digests of the requests in quarantine now."""
+        return tuple(filter(self._is_active, self._crashes))
+
+    def _is_active(self, digest: str) -> bool:
+        return len(self._recent_crashes(digest)) >= _CRASH_THRESHOLD
+
+    def _recent_crashes(self, digest: str) -> dict[str, int]:
+        """Return the times of the crashes that still count, by endpoint.
+
+        All of them count as long as the newest one does.
+        """
+        crashes = self._crashes.get(digest, {})
         oldest_ms = self._clock.now_ms() - _QUARANTINE_MS
-        return tuple(
-            digest
-            for digest, crashes in self._crashes.items()
-            if len(crashes) >= _CRASH_THRESHOLD
-            and max(crashes.values()) >= oldest_ms
+        if max(crashes.values(), default=oldest_ms) < oldest_ms:
+            return {}
+        return dict(crashes)
+
+    def _drop_one(self) -> None:
+        """Drop the digest without quarantine whose last crash is the oldest.
+
+        If all are in quarantine, the oldest of them is dropped.
+        """
+        inactive = (
+            digest for digest in self._crashes if not self._is_active(digest)
         )
+        oldest = next(iter(self._crashes))
+        self._crashes.pop(next(inactive, oldest))
--- a/src/acaciaramp/limits/wire.py
+++ b/src/acaciaramp/limits/wire.py
@@ -9,6 +9,7 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.limits.messages import BorrowReply, BorrowRequest
 from acaciaramp.peering.messages import Channel
+from acaciaramp.peering.replies import decode_reply
 
 if TYPE_CHECKING:
     from acaciaramp.limits.admission import Admission, Lender
@@ -33,7 +34,7 @@
         wire = await link.request(
             Channel.LIMITS, _encode(req), _REPLY_TIMEOUT_MS
         )
-        return _reply_decoder.decode(wire)
+        return decode_reply(_reply_decoder, wire)
 
     return borrow
 
--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -103,7 +103,6 @@
         self._pending: dict[int, _PendingRequest] = {}
         self._frames: FrameStream | None = None
         self._connected = anyio.Event()
-        self._heard = anyio.Event()
 
     @property
     def is_connected(self) -> bool:
--- a/src/acaciaramp/peering/messages.py
+++ b/src/acaciaramp/peering/messages.py
@@ -9,6 +9,8 @@
 from acaciaramp.errors import AcaciarampError, Refusal
 
 PROTOCOL_VERSION = 1
+# What msgspec raises for bytes that are no valid message.
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 class Channel(enum.Enum):
@@ -79,7 +81,7 @@
     """
     try:
         frame: Frame = _decoder.decode(wire)
-    except (msgspec.DecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise FrameError(f'cannot decode the frame: {exc}') from None
     if frame.version != PROTOCOL_VERSION:
         raise FrameError(f'protocol version {frame.version} is not supported')
--- a/src/acaciaramp/replication/group.py
+++ b/src/acaciaramp/replication/group.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import random
 from typing import TYPE_CHECKING
 
@@ -232,8 +231,12 @@
             learners=[item.instance for item in members.learners],
             term=self.replica.term,
         )
-        with contextlib.suppress(NotLeaderError, LeadershipLostError):
+        try:
             await self.replica.change_members(members)
+        except (NotLeaderError, LeadershipLostError) as exc:
+            logger.info('The membership was not changed.', reason=exc)
+        except OSError as exc:
+            self._record_disk_failure(exc)
 
     async def _probe_spares(self) -> list[Member]:
         """Return the replicas that reply and could become members."""
--- a/src/acaciaramp/replication/replica.py
+++ b/src/acaciaramp/replication/replica.py
@@ -282,7 +282,10 @@
             case msgs.SnapshotPart():
                 return await self._follower.on_snapshot(req)
             case msgs.HandoverRequest():
-                self._election.campaign_now()
+                # A delayed request of an earlier leader must not depose the
+                # present one.
+                if req.term == self.term:
+                    self._election.campaign_now()
                 return self._follower.mismatch(0)
 
     async def _wait_until_not_leading(self) -> None:
--- a/src/acaciaramp/replication/requests.py
+++ b/src/acaciaramp/replication/requests.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from acaciaramp.errors import CallError
+from acaciaramp.peering.replies import decode_reply
 from acaciaramp.replication.errors import PeerError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    import msgspec
+
     from acaciaramp.clock import Clock
     from acaciaramp.ids import InstanceId
     from acaciaramp.peering.link import Link
     from acaciaramp.peering.messages import Channel
     from acaciaramp.replication import messages as msgs
 
+_Reply = TypeVar('_Reply')
 Send = Callable[['InstanceId', 'msgs.Request'], Awaitable['msgs.Reply']]
 
 
@@ -26,7 +30,8 @@
     channel: Channel,
     body: bytes,
     wait_ms: int,
-) -> bytes:
+    decoder: msgspec.msgpack.Decoder[_Reply],
+) -> _Reply:
     """Send an encoded request over the link to an instance.
 
     Args:
@@ -35,19 +40,21 @@
         channel: The channel whose handler receives it.
         body: The request in the channel's encoding.
         wait_ms: Timeout, milliseconds.
+        decoder: Decoder of the channel's replies.
 
     Returns:
-        The encoded reply.
+        The reply.
 
     Raises:
-        PeerError: There is no connected link, the request timed out, or the
-            instance refused it.
+        PeerError: There is no connected link, the request timed out, the
+            instance refused it, or the reply cannot be decoded.
     """
     link = links.get(target)
     if link is None or not link.is_connected:
         raise PeerError(f'{target} cannot be reached')
     try:
-        return await link.request(channel, body, wait_ms)
+        encoded = await link.request(channel, body, wait_ms)
+        return decode_reply(decoder, encoded)
     except CallError as exc:
         raise PeerError(str(exc)) from None
 
--- /dev/null
+++ b/tests/coordination/test_follower.py
@@ -0,0 +1,88 @@
+"""The follower of the control group and replies that it cannot use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, cast
+
+import anyio
+import anyio.lowlevel
+import pytest
+
+from acaciaramp.clock import ManualClock
+from acaciaramp.coordination.codec import encode
+from acaciaramp.coordination.follower import Follower
+from acaciaramp.coordination.messages import Done, ReadState, StateReply
+from acaciaramp.errors import CallError
+from acaciaramp.ids import InstanceId
+from acaciaramp.metrics.client import Metrics
+from acaciaramp.roles.common import noop
+from acaciaramp.settings.node import RoleName
+from tests import builders as build
+
+if TYPE_CHECKING:
+    from acaciaramp.peering.links import Links
+
+
+class ScriptedLinks:
+    """Links to control instances that all give the same reply.
+
+    Attributes:
+        requests: Number of requests so far.
+    """
+
+    is_connected = True
+
+    def __init__(self, reply: bytes) -> None:
+        """Create the links."""
+        self.requests = 0
+        self.metrics = Metrics()
+        self._reply = reply
+
+    def get(self, _: InstanceId) -> ScriptedLinks:
+        """Return the link to an instance."""
+        return self
+
+    async def request(self, *_: Any) -> bytes:
+        """Count the request and return the reply."""
+        self.requests += 1
+        await anyio.lowlevel.checkpoint()
+        return self._reply
+
+
+@pytest.mark.parametrize('reply', [encode(Done()), b'\xc1'])
+def test_unusable_reply_is_not_asked_for_again_at_once(reply: bytes) -> None:
+    links = ScriptedLinks(reply)
+    clock = ManualClock()
+    follower = Follower(
+        build.node('e-1', RoleName.ENTRY),
+        lambda: [InstanceId('c-1')],
+        cast('Links', links),
+        clock,
+        noop,
+        noop,
+        lambda: None,
+    )
+    errors: list[CallError] = []
+
+    async def request() -> None:
+        try:
+            await follower.request(ReadState(), StateReply, 1_000)
+        except CallError as exc:
+            errors.append(exc)
+
+    async def scenario() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(request)
+            for _ in range(1_000):
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(1)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(follower.run)
+            for _ in range(1_000):
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(1)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+    assert len(errors) == 1
+    assert links.requests <= 25
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/test_quarantine.py
@@ -32,3 +32,21 @@
     assert quarantine.active_digests() == ('bad',)
     clock.advance(1)
     assert quarantine.active_digests() == ()
+
+
+def test_crashes_long_apart_do_not_add_up() -> None:
+    clock = ManualClock()
+    quarantine = Quarantine(clock)
+    for endpoint in 'abc':
+        record_crashes(quarantine, 'rare', endpoint)
+        clock.advance(60_001)
+    record_crashes(quarantine, 'rare', 'd')
+    assert quarantine.active_digests() == ()
+
+
+def test_many_other_crashes_do_not_end_a_quarantine() -> None:
+    quarantine = Quarantine(ManualClock())
+    record_crashes(quarantine, 'bad', 'a', 'b', 'c')
+    for number in range(2_000):
+        record_crashes(quarantine, f'other-{number}', 'a')
+    assert quarantine.active_digests() == ('bad',)
--- a/tests/replication/test_group.py
+++ b/tests/replication/test_group.py
@@ -228,3 +228,53 @@
             await wait_until(lambda: 'd' in voters(leader))
 
     run(scenario)
+
+
+def test_disk_that_fails_during_a_membership_change_stops_the_group() -> None:
+    class FullStore(NullStore):
+        """A store whose disk fills up."""
+
+        def __init__(self) -> None:
+            self.is_full = False
+
+        def append(self, first: int, entries: list[msgs.Entry]) -> None:
+            if self.is_full:
+                raise OSError('no space left on device')
+
+    async def scenario(cluster: Cluster, tasks: anyio.abc.TaskGroup) -> None:
+        store = FullStore()
+        leader = cluster.add('a', store=store)
+        ended: list[str] = []
+
+        async def run_leader() -> None:
+            try:
+                await leader.run()
+            except OSError as exc:
+                ended.append(str(exc))
+
+        tasks.start_soon(run_leader)
+        leader.bootstrap()
+        await wait_until(lambda: leader.replica.is_ready)
+        store.is_full = True
+        tasks.start_soon(cluster.add('b').run)
+        tasks.start_soon(leader.maintain_membership)
+        with anyio.fail_after(5):
+            await wait_until(lambda: bool(ended))
+        assert ended == ['the disk failed']
+
+    run(scenario)
+
+
+def test_handover_of_an_earlier_term_starts_no_campaign() -> None:
+    async def scenario(cluster: Cluster, tasks: anyio.abc.TaskGroup) -> None:
+        leader = await bootstrapped_leader(cluster, tasks)
+        term = leader.replica.term
+        follower = cluster.groups[InstanceId('b')]
+        await wait_until(lambda: follower.replica.term == term)
+        for _ in range(10):
+            await follower.handle(msgs.HandoverRequest(term - 1))
+            await anyio.sleep(0.01)
+        assert leader.replica.term == term
+        assert leader.replica.is_ready
+
+    run(scenario)
