Cut off bytes without end from endpoints, callers and instance lists

Cause: a server in trouble may send bytes that are no answer until the other side closes. Heads were bounded for each event but not for many informational ones; bodies were collected without a bound, as were the data and the open line of a stream; after a complete stream everything that followed was read; lists were read for as long as they dripped and as many pages as they named; a caller's body had no time limit, nor had operators' headers and bodies.

Ruled out: time limits alone, since 15 Mbit/s for 3 s is 5.6 MB for each request of an instance that has 128 MB. A limit for each body alone: 12 endless bodies held 50 MB; all buffers of a process now share 24 MiB. Buffers are freed at once, since tracebacks kept them until the garbage collector ran (seen by tracemalloc).

Conclusion: both paths and the list are bounded in size and in time.

--- a/src/acaciaramp/conversations/events.py
+++ b/src/acaciaramp/conversations/events.py
@@ -5,9 +5,17 @@
 
 from __future__ import annotations
 
+from acaciaramp.errors import AcaciarampError
+
+MAX_EVENT_BYTES = 262_144
+MAX_CONTENT_BYTES = 4_194_304
 _DATA = b'data:'
 
 
+class StreamTooLargeError(AcaciarampError):
+    """An event, or the data of all events, exceeds its limit."""
+
+
 class EventCollector:
     """Incremental parser of a stream of server-sent events.
 
@@ -28,17 +36,32 @@
         self._keeps_content = keeps_content
         self._partial_line = b''
         self._data: list[bytes] = []
+        self._data_bytes = 0
 
     def feed(self, part: bytes) -> None:
-        """Process the next bytes of the stream, cut at any position."""
+        """Process the next bytes of the stream, cut at any position.
+
+        Raises:
+            StreamTooLargeError: An event has more than ``MAX_EVENT_BYTES``, or
+                more than ``MAX_CONTENT_BYTES`` would be collected.
+        """
         *lines, partial = (self._partial_line + part).split(b'\n')
         self._partial_line = partial
         for line in lines:
             self._process_line(line.removesuffix(b'\r'))
+        if self._data_bytes + len(partial) > MAX_EVENT_BYTES:
+            raise StreamTooLargeError(
+                f'an event of the stream exceeds {MAX_EVENT_BYTES} bytes'
+            )
+        if len(self.content) > MAX_CONTENT_BYTES:
+            raise StreamTooLargeError(
+                f'the data of the stream exceeds {MAX_CONTENT_BYTES} bytes'
+            )
 
     def _process_line(self, line: bytes) -> None:
         if line.startswith(_DATA):
             self._data.append(line.removeprefix(_DATA).removeprefix(b' '))
+            self._data_bytes += len(line)
             return
         if line or not self._data:
             return
@@ -46,3 +69,4 @@
         if self._keeps_content:
             self.content.extend(b'\n'.join((*self._data, b'')))
         self._data = []
+        self._data_bytes = 0
--- a/src/acaciaramp/endpoints/deltas.py
+++ b/src/acaciaramp/endpoints/deltas.py
@@ -4,6 +4,14 @@
 
 import msgspec
 
+from acaciaramp.errors import AcaciarampError
+
+MAX_TOOL_CALLS = 1_000
+
+
+class DeltaError(AcaciarampError):
+    """A delta does not fit into a message."""
+
 
 class FunctionDelta(msgspec.Struct, omit_defaults=True):
     """Delta of a function call.
@@ -107,7 +115,11 @@
         self._content: list[str] = []
 
     def add(self, delta: Delta) -> None:
-        """Append a delta to the message."""
+        """Append a delta to the message.
+
+        Raises:
+            DeltaError: It has a tool call with an index that is out of range.
+        """
         if delta.content is not None:
             self._content.append(delta.content)
         if delta.refusal is not None:
@@ -122,9 +134,11 @@
         return self.message
 
     def _add_tool_call(self, part: ToolCallDelta) -> None:
+        if not 0 <= part.index < MAX_TOOL_CALLS:
+            raise DeltaError(f'tool call {part.index} is out of range')
         calls = self.message.tool_calls
-        while len(calls) <= part.index:
-            calls = [*calls, ToolCall()]
+        missing = part.index + 1 - len(calls)
+        calls = [*calls, *(ToolCall() for _ in range(missing))]
         self.message.tool_calls = calls
         call = calls[part.index]
         call.id = part.id or call.id
--- a/src/acaciaramp/endpoints/engine.py
+++ b/src/acaciaramp/endpoints/engine.py
@@ -7,9 +7,13 @@
 import anyio
 import msgspec
 
-from acaciaramp.endpoints.deltas import Assembler, Delta
+from acaciaramp.endpoints.deltas import Assembler, Delta, DeltaError
 from acaciaramp.endpoints.failures import EndpointError, Failure
-from acaciaramp.endpoints.http import HttpRequest, HttpResponse
+from acaciaramp.endpoints.http import (
+    MAX_RESPONSE_BYTES,
+    HttpRequest,
+    HttpResponse,
+)
 from acaciaramp.ids import ProgramId
 from acaciaramp.metrics.names import Counter, Timer
 from acaciaramp.records import Answer, Header
@@ -140,6 +144,7 @@
             'POST',
             f'{endpoint.address}/v1/sessions/release',
             inactivity_ms=_CONTROL_TIMEOUT_MS,
+            total_ms=_CONTROL_TIMEOUT_MS,
             headers=(Header('content-type', 'application/json'),),
             body=msgspec.json.encode({'sessions': programs}),
         )
@@ -159,6 +164,7 @@
             'GET',
             f'{endpoint.address}/v1/sessions',
             inactivity_ms=_CONTROL_TIMEOUT_MS,
+            total_ms=_CONTROL_TIMEOUT_MS,
         )
         async with self._http.send(req) as response:
             body = await response.read_body()
@@ -198,6 +204,7 @@
             'DELETE',
             f'{endpoint.address}/v1/streams/{stream.name}',
             inactivity_ms=_CONTROL_TIMEOUT_MS,
+            total_ms=_CONTROL_TIMEOUT_MS,
         )
         with anyio.CancelScope(shield=True):
             try:
@@ -231,6 +238,7 @@
         self._assembler = Assembler()
         self._parser = sse.EventParser()
         self._inactivity_ms = 0
+        self._received_bytes = 0
         self._finish_reason = ''
         self._usage = Usage()
 
@@ -288,11 +296,20 @@
             cached_tokens=int(details.get('cached_tokens') or 0),
         )
 
-    def _on_part(self, part: bytes) -> int:
-        for event in self._parser.feed(part):
-            self._on_event(event)
-        # The remaining bytes of a complete response are read so that its
-        # connection can be reused.
+    def _on_part(self, part: bytes) -> int | None:
+        if self.is_finished:
+            # Whatever follows a complete response is no part of it.
+            return None
+        self._received_bytes += len(part)
+        if self._received_bytes > MAX_RESPONSE_BYTES:
+            raise _malformed('more bytes than a response may have')
+        try:
+            for event in self._parser.feed(part):
+                self._on_event(event)
+        except (sse.EventTooLargeError, DeltaError) as exc:
+            raise _malformed(str(exc)) from None
+        # The end of a complete response is read so that its connection can be
+        # reused.
         return _DRAIN_TIMEOUT_MS if self.is_finished else self._inactivity_ms
 
     def _on_event(self, event: sse.Event) -> None:
@@ -305,12 +322,8 @@
             self.last_event = event.number
         try:
             self._on_chunk(_chunk_decoder.decode(event.payload))
-        except msgspec.DecodeError as exc:
-            raise EndpointError(
-                Failure.MALFORMED,
-                Verdict.MAY_HAVE_RUN,
-                f'the engine sent a malformed chunk: {exc}',
-            ) from None
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            raise _malformed(str(exc)) from None
 
     def _on_chunk(self, chunk: Chunk) -> None:
         if chunk.usage is not None:
@@ -367,6 +380,14 @@
     )
 
 
+def _malformed(reason: str) -> EndpointError:
+    return EndpointError(
+        Failure.MALFORMED,
+        Verdict.MAY_HAVE_RUN,
+        f'the engine sent a malformed response: {reason}',
+    )
+
+
 def _status_error(status: int, body: bytes) -> EndpointError:
     verdict = Verdict.MAY_HAVE_RUN
     if status in _NOT_RUN_STATUSES:
--- a/src/acaciaramp/endpoints/http.py
+++ b/src/acaciaramp/endpoints/http.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from acaciaramp.clock import Clock
+    from acaciaramp.clock import Clock, Timeout
     from acaciaramp.records import Header
 
 CONNECT_TIMEOUT_S = 2.0
@@ -24,7 +24,7 @@
 _SEND_STARTED_EVENT = 'http11.send_request_headers.started'
 
 
-PartHandler = Callable[[bytes], int]
+PartHandler = Callable[[bytes], int | None]
 
 
 class HttpRequest:
@@ -39,6 +39,9 @@
             body, milliseconds.
         dedicated_connection: Whether the request is sent over a new
             connection instead of a pooled one.
+        total_ms: Timeout for the whole response, milliseconds; None if only
+            ``inactivity_ms`` limits it.
+        most_body_bytes: Maximum size of the response body.
     """
 
     def __init__(
@@ -50,6 +53,8 @@
         headers: tuple[Header, ...] = (),
         body: bytes = b'',
         dedicated_connection: bool = False,
+        total_ms: int | None = None,
+        most_body_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
         """Create the request."""
         self.method = method
@@ -58,6 +63,8 @@
         self.body = body
         self.inactivity_ms = inactivity_ms
         self.dedicated_connection = dedicated_connection
+        self.total_ms = total_ms
+        self.most_body_bytes = most_body_bytes
 
 
 class HttpResponse:
@@ -70,23 +77,32 @@
     """
 
     def __init__(
-        self, resp: httpcore.Response, clock: Clock, inactivity_ms: int
+        self,
+        resp: httpcore.Response,
+        clock: Clock,
+        req: HttpRequest,
+        sent_ms: int,
     ) -> None:
         """Wrap the response of the HTTP library.
 
         Args:
             resp: The open response.
-            clock: Clock for the inactivity timeout.
-            inactivity_ms: Timeout for each part of the body, milliseconds.
+            clock: Clock for the timeouts.
+            req: The request, which has the limits of the response.
+            sent_ms: When the request was sent, on the clock.
         """
         self.status = resp.status
         self.headers = [
             (name.decode('latin-1').lower(), text.decode('latin-1'))
             for name, text in resp.headers
         ]
+        self.inactivity_ms = req.inactivity_ms
         self._resp = resp
         self._clock = clock
-        self.inactivity_ms = inactivity_ms
+        self._most_body_bytes = req.most_body_bytes
+        self._until_ms: int | None = None
+        if req.total_ms is not None:
+            self._until_ms = sent_ms + req.total_ms
 
     def header(self, name: str) -> str:
         """Return the value of a header, an empty string if it is missing.
@@ -101,20 +117,22 @@
 
         Args:
             on_part: Called with each part; returns the timeout for the next
-                part, milliseconds.
+                part, milliseconds, or None to read no further.
 
         Raises:
-            EndpointError: The connection was lost, or no part arrived in time.
+            EndpointError: The connection was lost, no part arrived in time, or
+                the whole response took too long.
         """
         try:
-            with self._clock.timeout(self.inactivity_ms) as timeout:
-                async for part in self._resp.aiter_stream():
-                    timeout.restart(on_part(part))
+            with self._clock.timeout(
+                self._part_timeout_ms(self.inactivity_ms)
+            ) as timeout:
+                await self._read_until_told(on_part, timeout)
         except TimeoutError:
             raise EndpointError(
                 Failure.TIMEOUT,
                 Verdict.MAY_HAVE_RUN,
-                'the endpoint fell silent in its answer',
+                'the endpoint did not complete its answer in time',
             ) from None
         except _NETWORK_ERRORS as exc:
             raise EndpointError(
@@ -128,20 +146,37 @@
 
         Raises:
             EndpointError: The connection was lost, no part arrived in time, or
-                the body exceeds ``MAX_RESPONSE_BYTES``.
+                the body exceeds ``HttpRequest.most_body_bytes``.
         """
-        parts: list[bytes] = []
+        body = bytearray()
 
         def on_part(part: bytes) -> int:
-            parts.append(part)
-            if sum(map(len, parts)) > MAX_RESPONSE_BYTES:
+            body.extend(part)
+            if len(body) > self._most_body_bytes:
                 raise EndpointError(
-                    Failure.MALFORMED, Verdict.RAN, 'the answer is too long'
+                    Failure.MALFORMED,
+                    Verdict.MAY_HAVE_RUN,
+                    f'the answer has more than {self._most_body_bytes} bytes',
                 )
             return self.inactivity_ms
 
         await self.read_parts(on_part)
-        return b''.join(parts)
+        return bytes(body)
+
+    async def _read_until_told(
+        self, on_part: PartHandler, limit: Timeout
+    ) -> None:
+        async for part in self._resp.aiter_stream():
+            next_ms = on_part(part)
+            if next_ms is None:
+                return
+            limit.restart(self._part_timeout_ms(next_ms))
+
+    def _part_timeout_ms(self, inactivity_ms: int) -> int:
+        if self._until_ms is None:
+            return inactivity_ms
+        left_ms = max(0, self._until_ms - self._clock.now_ms())
+        return min(inactivity_ms, left_ms)
 
 
 class HttpClient:
@@ -165,10 +200,14 @@
                 byte of the request was sent.
         """
         tracker = _SendTracker()
+        sent_ms = self._clock.now_ms()
+        head_ms = req.inactivity_ms
+        if req.total_ms is not None:
+            head_ms = min(head_ms, req.total_ms)
         async with contextlib.AsyncExitStack() as stack:
             pool = await self._pool(req, stack)
             try:
-                with self._clock.timeout(req.inactivity_ms):
+                with self._clock.timeout(head_ms):
                     resp = await stack.enter_async_context(
                         _open_response(pool, req, tracker)
                     )
@@ -188,7 +227,7 @@
                     tracker.verdict,
                     f'the endpoint closed the connection: {_class_name(exc)}',
                 ) from None
-            yield HttpResponse(resp, self._clock, req.inactivity_ms)
+            yield HttpResponse(resp, self._clock, req, sent_ms)
 
     async def aclose(self) -> None:
         """Close all connections."""
--- /dev/null
+++ b/src/acaciaramp/forwarding/buffers.py
@@ -0,0 +1,91 @@
+"""Limits on the memory for responses that are received before they are sent on."""
+
+from __future__ import annotations
+
+from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.verdicts import Verdict
+
+MAX_RESPONSE_BYTES = 4_194_304
+# All responses of one process together; several of them may grow at once.
+MAX_TOTAL_BYTES = 25_165_824
+
+
+class BufferLimit:
+    """Counts the bytes that all buffers of a process hold."""
+
+    def __init__(self, most_bytes: int = MAX_TOTAL_BYTES) -> None:
+        """Create the limit without buffers.
+
+        Args:
+            most_bytes: Maximum size of all buffers together.
+        """
+        self._most_bytes = most_bytes
+        self._held_bytes = 0
+
+    def add(self, size: int) -> None:
+        """Count bytes that are added to a buffer.
+
+        Raises:
+            EndpointError: All buffers together would be too large.
+        """
+        if self._held_bytes + size > self._most_bytes:
+            raise too_long_error(self._most_bytes)
+        self._held_bytes += size
+
+    def remove(self, size: int) -> None:
+        """Count bytes whose buffer is not needed any more."""
+        self._held_bytes -= size
+
+
+class ResponseBuffer:
+    """Body of one response, whose size is limited.
+
+    Used as a context manager, since its bytes count until the end of the
+    context.
+    """
+
+    def __init__(
+        self, limit: BufferLimit, most_bytes: int = MAX_RESPONSE_BYTES
+    ) -> None:
+        """Create an empty buffer.
+
+        Args:
+            limit: Limit on the buffers of the process.
+            most_bytes: Maximum size of this buffer.
+        """
+        self.content = bytearray()
+        self._limit = limit
+        self._most_bytes = most_bytes
+
+    def __enter__(self) -> ResponseBuffer:
+        """Enter the context."""
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Free the bytes.
+
+        They are freed at once, since the traceback of an error may keep the
+        buffer itself for a while.
+        """
+        self._limit.remove(len(self.content))
+        self.content.clear()
+
+    def append(self, part: bytes) -> None:
+        """Append a part of the body.
+
+        Raises:
+            EndpointError: The body is too large.
+        """
+        if len(self.content) + len(part) > self._most_bytes:
+            raise too_long_error(self._most_bytes)
+        self._limit.add(len(part))
+        self.content += part
+
+
+def too_long_error(most_bytes: int) -> EndpointError:
+    """Return the error for a response that exceeds a limit."""
+    return EndpointError(
+        Failure.MALFORMED,
+        Verdict.MAY_HAVE_RUN,
+        f'the response exceeds the limit of {most_bytes} bytes',
+    )
--- a/src/acaciaramp/forwarding/connections.py
+++ b/src/acaciaramp/forwarding/connections.py
@@ -10,6 +10,7 @@
 
 from acaciaramp.clock import MS_PER_SECOND
 from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.forwarding.buffers import too_long_error
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -33,6 +34,9 @@
 # avoid that a request is sent on a connection that the endpoint is closing.
 _IDLE_MARGIN_MS = 700
 
+# The read that completes a head may contain up to 64 KiB of the body.
+_MAX_HEAD_BYTES = 98_304
+
 _SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -49,6 +53,65 @@
 )
 
 
+class _HeadTooLongError(Exception):
+    """The head of a response does not end."""
+
+
+class _BoundedStream(httpcore.AsyncNetworkStream):
+    """A network stream that limits the bytes before the end of a head.
+
+    The HTTP parser limits each single head, but not the number of
+    informational ones that may precede the head of a response.
+
+    Attributes:
+        is_reading_head: Whether the head of a response is being read.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self.is_reading_head = False
+        self._stream = stream
+        self._head_bytes = 0
+
+    def start_head(self) -> None:
+        """Start to count, as a request is about to be sent."""
+        self.is_reading_head = True
+        self._head_bytes = 0
+
+    # The signatures of ``read`` and ``write`` are those of the base class.
+    async def read(
+        self,
+        max_bytes: int,
+        timeout: float | None = None,  # noqa: ASYNC109
+    ) -> bytes:
+        """Read bytes.
+
+        Raises:
+            _HeadTooLongError: The head is too long.
+        """
+        received = await self._stream.read(max_bytes, timeout)
+        if self.is_reading_head:
+            self._head_bytes += len(received)
+            if self._head_bytes > _MAX_HEAD_BYTES:
+                raise _HeadTooLongError
+        return received
+
+    async def write(
+        self,
+        buffer: bytes,
+        timeout: float | None = None,  # noqa: ASYNC109
+    ) -> None:
+        """Write bytes."""
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the stream."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return a property of the stream."""
+        return self._stream.get_extra_info(info)
+
+
 class Connection:
     """A connection to an endpoint, used by one request at a time.
 
@@ -64,7 +127,8 @@
         self.idle_ms = _DEFAULT_IDLE_MS
         self.last_used_ms = 0
         self._origin = origin
-        self._http = httpcore.AsyncHTTP11Connection(origin, stream)
+        self._stream = _BoundedStream(stream)
+        self._http = httpcore.AsyncHTTP11Connection(origin, self._stream)
 
     async def send(
         self, method: str, target: bytes, headers: RawHeaders, body: bytes
@@ -72,7 +136,8 @@
         """Send a request and return its response with an unread body.
 
         Raises:
-            EndpointError: The connection failed; the request may have run.
+            EndpointError: The connection failed, or the head of the response
+                is too long; the request may have run.
         """
         url = httpcore.URL(
             scheme=self._origin.scheme,
@@ -80,12 +145,17 @@
             port=self._origin.port,
             target=target,
         )
+        self._stream.start_head()
         try:
-            return await self._http.handle_async_request(
+            resp = await self._http.handle_async_request(
                 httpcore.Request(method, url, headers=headers, content=body)
             )
+        except _HeadTooLongError:
+            raise too_long_error(_MAX_HEAD_BYTES) from None
         except _NETWORK_ERRORS as exc:
             raise connection_lost_error(exc) from None
+        self._stream.is_reading_head = False
+        return resp
 
     @property
     def has_stray_bytes(self) -> bool:
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -8,6 +8,7 @@
 
 from acaciaramp.endpoints.failures import EndpointError
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.forwarding.buffers import BufferLimit
 from acaciaramp.forwarding.call import Call
 from acaciaramp.forwarding.caller import Caller
 from acaciaramp.forwarding.relay import Relay
@@ -86,6 +87,7 @@
         self._forwarder = forwarder
         self._clock = clock
         self._metrics = metrics
+        self._buffers = BufferLimit()
 
     async def serve(
         self,
@@ -136,7 +138,7 @@
         await self._wait_for_table(inbound)
         route = self._find_route(inbound)
         workspace = self._authorize(inbound, route)
-        body = await caller.read_body(self._router.limits.body_bytes)
+        body = await self._read_body(inbound, route, caller)
         if body is None:
             return
         inbound.body = body
@@ -148,6 +150,24 @@
         if failure is not None:
             raise failure
 
+    async def _read_body(
+        self, inbound: InboundRequest, route: Route, caller: Caller
+    ) -> bytes | None:
+        """Return the body, None if the caller disconnects first.
+
+        Raises:
+            CallError: The body is too large, or it did not arrive within the
+                time limit of the request.
+        """
+        until_ms = inbound.started_ms + _time_limit_ms(inbound, route)
+        try:
+            with self._clock.timeout(max(0, until_ms - self._clock.now_ms())):
+                return await caller.read_body(self._router.limits.body_bytes)
+        except TimeoutError:
+            raise CallError(
+                ErrorCode.BODY_TIMEOUT, 'the body did not come in time'
+            ) from None
+
     async def _forward_while_connected(
         self,
         inbound: InboundRequest,
@@ -187,8 +207,10 @@
         """
         if self._router.table is not None:
             return
-        left_ms = inbound.wait_ms or _TABLE_WAIT_MS
-        wait_ms = min(_TABLE_WAIT_MS, int(_TABLE_WAIT_FRACTION * left_ms))
+        wait_ms = _TABLE_WAIT_MS
+        if inbound.wait_ms is not None:
+            most_ms = int(_TABLE_WAIT_FRACTION * inbound.wait_ms)
+            wait_ms = min(wait_ms, most_ms)
         try:
             with self._clock.timeout(wait_ms):
                 await self._router.table_ready.wait()
@@ -229,22 +251,21 @@
         workspace: WorkspaceId | None,
         caller: Caller,
     ) -> None:
-        wait_ms = route.timeout_ms
-        if inbound.wait_ms is not None:
-            wait_ms = min(wait_ms, inbound.wait_ms)
         call = Call(
             inbound=inbound,
             route=route,
             service=self._router.pick_service(route),
             workspace=workspace,
-            deadline_ms=inbound.started_ms + wait_ms,
+            deadline_ms=inbound.started_ms + _time_limit_ms(inbound, route),
         )
         self._check_quarantine(call)
         # Before the rate limit: a turn that its budget does not allow must not
         # consume a token of the rate.
         call.turn = await self._turns.open(call)
         await self._admit(call)
-        relay = Relay(call, caller, self._turns.make_before_finish(call))
+        relay = Relay(
+            call, caller, self._turns.make_before_finish(call), self._buffers
+        )
         try:
             await self._forwarder.forward(call, relay)
         except CallError as exc:
@@ -344,6 +365,16 @@
         )
 
 
+def _time_limit_ms(inbound: InboundRequest, route: Route) -> int:
+    """Return the time from the arrival of a request until its response is due.
+
+    It is the shorter one of the limits of the caller and of the route.
+    """
+    if inbound.wait_ms is None:
+        return route.timeout_ms
+    return min(route.timeout_ms, inbound.wait_ms)
+
+
 def _log_ids(inbound: InboundRequest | None) -> dict[str, str]:
     """Return the log fields that identify a request."""
     if inbound is None:
--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -4,8 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from acaciaramp.conversations.events import EventCollector
+from acaciaramp.conversations.events import (
+    EventCollector,
+    StreamTooLargeError,
+)
 from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.forwarding.buffers import ResponseBuffer
 from acaciaramp.forwarding.connections import iter_body
 from acaciaramp.routing.model import RouteKind
 from acaciaramp.verdicts import Verdict
@@ -15,6 +19,7 @@
 
     import httpcore
 
+    from acaciaramp.forwarding.buffers import BufferLimit
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.caller import Caller
     from acaciaramp.forwarding.messages import ResponseHead
@@ -39,12 +44,14 @@
         call: Call,
         caller: Caller,
         before_finish: Callable[[Relay], Awaitable[None]],
+        buffers: BufferLimit,
     ) -> None:
         """Create the relay.
 
         Args:
             call: The request.
             caller: Receives the response.
+            buffers: Limit on the responses that the process holds.
             before_finish: Called when the response has arrived completely,
                 before its end is sent to the caller. If it fails, the caller
                 does not get a complete response.
@@ -57,6 +64,7 @@
         self._call = call
         self._caller = caller
         self._before_finish = before_finish
+        self._buffers = buffers
 
     @property
     def is_success(self) -> bool:
@@ -83,7 +91,12 @@
         if self._call.route.kind is RouteKind.STREAMING and self.is_success:
             await self._stream(head, resp)
             return
-        body = b''.join([part async for part in iter_body(resp)])
+        with ResponseBuffer(self._buffers) as buffer:
+            async for part in iter_body(resp):
+                buffer.append(part)
+            await self._send_whole(head, bytes(buffer.content))
+
+    async def _send_whole(self, head: ResponseHead, body: bytes) -> None:
         if head.length is not None and self._call.inbound.method != 'HEAD':
             _check_length(head.length, len(body))
         await self._before_finish(self)
@@ -105,7 +118,7 @@
         remaining_bytes = head.length
         last = b''
         async for part in iter_body(resp):
-            self.events.feed(part)
+            self._feed_events(part)
             if remaining_bytes is not None:
                 remaining_bytes -= len(part)
             if remaining_bytes == 0:
@@ -115,11 +128,19 @@
         await self._before_finish(self)
         await self._caller.finish(last)
 
+    def _feed_events(self, part: bytes) -> None:
+        try:
+            self.events.feed(part)
+        except StreamTooLargeError as exc:
+            raise EndpointError(
+                Failure.MALFORMED, Verdict.MAY_HAVE_RUN, str(exc)
+            ) from None
+
 
 def _check_length(announced_bytes: int, received_bytes: int) -> None:
     if announced_bytes != received_bytes:
         raise EndpointError(
-            Failure.CONNECTION_LOST,
+            Failure.MALFORMED,
             Verdict.MAY_HAVE_RUN,
             f'the answer has {received_bytes} of {announced_bytes} bytes',
         )
--- a/src/acaciaramp/membership/instance_list.py
+++ b/src/acaciaramp/membership/instance_list.py
@@ -9,6 +9,7 @@
 
 from acaciaramp.endpoints.failures import EndpointError
 from acaciaramp.endpoints.http import HttpRequest
+from acaciaramp.errors import AcaciarampError
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -19,6 +20,7 @@
 
 _POLL_PERIOD_MS = 500
 _RESPONSE_TIMEOUT_MS = 1_000
+_TOTAL_TIMEOUT_MS = 3_000
 _OK = 200
 
 
@@ -56,6 +58,10 @@
     instances: list[ListedInstance]
 
 
+class InstanceListError(AcaciarampError):
+    """The response of the instance list is unusable."""
+
+
 class InstanceListPoller:
     """Polls the list for the set of endpoints that are leaving.
 
@@ -92,13 +98,17 @@
         if self._address is None:
             return
         req = HttpRequest(
-            'GET', self._address, inactivity_ms=_RESPONSE_TIMEOUT_MS
+            'GET',
+            self._address,
+            inactivity_ms=_RESPONSE_TIMEOUT_MS,
+            total_ms=_TOTAL_TIMEOUT_MS,
         )
         try:
             async with self._http.send(req) as response:
+                status = response.status
                 body = await response.read_body()
-                listed = msgspec.json.decode(body, type=InstanceList)
-        except (EndpointError, msgspec.DecodeError) as exc:
+            listed = _decode(status, body)
+        except (EndpointError, InstanceListError) as exc:
             logger.warning(
                 'Could not read the instance list; keeping the last one.',
                 reason=exc,
@@ -115,3 +125,17 @@
                 endpoint=endpoint,
             )
         self._leaving = leaving
+
+
+def _decode(status: int, body: bytes) -> InstanceList:
+    """Decode the response of the list.
+
+    Raises:
+        InstanceListError: It is not a list.
+    """
+    if status != _OK:
+        raise InstanceListError(f'the list answers {status}')
+    try:
+        return msgspec.json.decode(body, type=InstanceList)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise InstanceListError(f'malformed: {exc}') from None
--- a/src/acaciaramp/platform/instances.py
+++ b/src/acaciaramp/platform/instances.py
@@ -24,6 +24,9 @@
 logger = get_logger('instances')
 
 _RESPONSE_TIMEOUT_MS = 1_000
+_MAX_PAGE_BYTES = 4_194_304
+# A list whose pages never end is not read any further.
+_MAX_PAGES = 1_000
 _OK = 200
 
 
@@ -68,7 +71,7 @@
     async def read() -> tuple[Endpoint, ...]:
         endpoints: list[Endpoint] = []
         token = ''
-        while True:
+        for _ in range(_MAX_PAGES):
             query = f'?pageToken={quote(token)}' if token else ''
             page = await _read_page(
                 client, f'http://{address}/instances{query}'
@@ -77,6 +80,9 @@
             if not page.next:
                 return tuple(endpoints)
             token = page.next
+        raise CallError(
+            ErrorCode.NO_ENDPOINT, f'the list has more than {_MAX_PAGES} pages'
+        )
 
     return read
 
@@ -98,7 +104,13 @@
 
 
 async def _read_page(client: HttpClient, url: str) -> _Page:
-    req = HttpRequest('GET', url, inactivity_ms=_RESPONSE_TIMEOUT_MS)
+    req = HttpRequest(
+        'GET',
+        url,
+        inactivity_ms=_RESPONSE_TIMEOUT_MS,
+        total_ms=_RESPONSE_TIMEOUT_MS,
+        most_body_bytes=_MAX_PAGE_BYTES,
+    )
     try:
         async with client.send(req) as response:
             status = response.status
@@ -109,7 +121,7 @@
         raise CallError(ErrorCode.NO_ENDPOINT, f'the list answers {status}')
     try:
         return _page_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise CallError(ErrorCode.NO_ENDPOINT, f'malformed: {exc}') from None
 
 
--- a/src/acaciaramp/platform/operators.py
+++ b/src/acaciaramp/platform/operators.py
@@ -28,12 +28,14 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from acaciaramp.clock import Clock
     from acaciaramp.coordination.follower import Follower
     from acaciaramp.metrics.client import Metrics
 
 logger = get_logger('operators')
 
 _MAX_BODY_BYTES = 16_777_216
+_BODY_TIMEOUT_MS = 10_000
 # Clients of operators try another instance after 1 s without a response.
 _REPLY_TIMEOUT_MS = 900
 _JSON_HEADER = (b'content-type', b'application/json')
@@ -58,14 +60,14 @@
 
 
 def make_operator_app(
-    follower: Follower,
-    metrics: Metrics,
+    follower: Follower, metrics: Metrics, clock: Clock
 ) -> Callable[..., Awaitable[None]]:
     """Create the ASGI application that serves operators.
 
     Args:
         follower: Sends requests to the leader of the control group.
         metrics: Counts invalid configs.
+        clock: Clock for the time limit of bodies.
     """
     codec = PlatformCodec()
 
@@ -73,7 +75,7 @@
         caller = Caller(receive, send, should_close=_never_close)
         call = f'{scope["method"]} {scope["path"]}'
         try:
-            body = await caller.read_body(_MAX_BODY_BYTES)
+            body = await _read_body(caller, clock)
             if body is None:
                 return
             response = await _handle_call(follower, call, body)
@@ -107,6 +109,16 @@
     return app
 
 
+async def _read_body(caller: Caller, clock: Clock) -> bytes | None:
+    try:
+        with clock.timeout(_BODY_TIMEOUT_MS):
+            return await caller.read_body(_MAX_BODY_BYTES)
+    except TimeoutError:
+        raise CallError(
+            ErrorCode.BODY_TIMEOUT, 'the body did not come in time'
+        ) from None
+
+
 def _never_close() -> bool:
     return False
 
--- a/src/acaciaramp/platform/statuses.py
+++ b/src/acaciaramp/platform/statuses.py
@@ -29,6 +29,7 @@
         ErrorCode.BUDGET_EXHAUSTED: 402,
         ErrorCode.NOT_FOUND: 404,
         ErrorCode.UNKNOWN_STEP: 404,
+        ErrorCode.BODY_TIMEOUT: 408,
         ErrorCode.BODY_TOO_LARGE: 413,
         ErrorCode.RATE_LIMITED: 429,
     }
--- a/src/acaciaramp/roles/adapter.py
+++ b/src/acaciaramp/roles/adapter.py
@@ -32,4 +32,4 @@
     codec: Codec
     decode_table: Callable[[bytes], RoutingTable]
     make_reader: Callable[[str, Clock, Metrics], ReadEndpoints]
-    make_operator_app: Callable[[Follower, Metrics], App]
+    make_operator_app: Callable[[Follower, Metrics, Clock], App]
--- a/src/acaciaramp/roles/control.py
+++ b/src/acaciaramp/roles/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import pathlib
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,7 @@
 from acaciaramp.roles.common import LOG_TIMING, noop
 from acaciaramp.settings.node import RoleName, split_address
 from acaciaramp.storage.store import DiskStore
+from acaciaramp.util.header_limits import HeaderLimitProtocol, HeaderLimits
 from acaciaramp.util.logs import get_logger
 from acaciaramp.util.webserver import bind_socket, running_server
 
@@ -41,6 +43,9 @@
 logger = get_logger('control')
 
 _REPLICA_TIMEOUT_MS = 1_000
+_MAX_HEADER_BYTES = 16_384
+_HEADER_TIMEOUT_MS = 5_000
+_OPERATOR_LIMITS = HeaderLimits(_MAX_HEADER_BYTES, _HEADER_TIMEOUT_MS)
 
 
 class ControlRole:
@@ -100,9 +105,14 @@
             context.seeds()
         ):
             self._group.bootstrap()
-        app = self._adapter.make_operator_app(self._follower, context.metrics)
+        app = self._adapter.make_operator_app(
+            self._follower, context.metrics, context.clock
+        )
         sock = bind_socket(*split_address(context.cfg.operators or ''))
-        async with running_server(app, [sock]):
+        protocol = functools.partial(
+            HeaderLimitProtocol, lambda: _OPERATOR_LIMITS
+        )
+        async with running_server(app, [sock], protocol):
             await stop.wait()
             logger.info(
                 'Stopping; transferring leadership if this replica leads.',
@@ -137,9 +147,9 @@
             encoded = await links.get(target).request(
                 Channel.COORDINATION, body, _REPLICA_TIMEOUT_MS
             )
+            reply = decode_reply(encoded)
         except CallError as exc:
             raise PeerError(str(exc)) from None
-        reply = decode_reply(encoded)
         if not isinstance(reply, ReplicaMessageReply):
             raise PeerError(f'{target} gave a reply of another kind')
         return reply.body
--- a/tests/forwarding/endpoint.py
+++ b/tests/forwarding/endpoint.py
@@ -84,7 +84,7 @@
                 anyio.EndOfStream, anyio.BrokenResourceError
             ):
                 while True:
-                    request = await _read_request(stream, number)
+                    request = await read_request(stream, number)
                     self.received.append(request)
                     for part in self._script(request):
                         if part is None:
@@ -173,7 +173,13 @@
         return is_body and not last.get('more_body', False)
 
 
-async def _read_request(stream: SocketStream, number: int) -> ReceivedRequest:
+async def read_request(stream: SocketStream, number: int) -> ReceivedRequest:
+    """Return the next request of a connection.
+
+    Args:
+        stream: The connection.
+        number: Number of the connection, for the record.
+    """
     wire = b''
     while b'\r\n\r\n' not in wire:
         wire += await stream.receive()
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+import anyio
 import msgspec
+import pytest
 
+from acaciaramp.clock import SystemClock
+from acaciaramp.errors import CallError
 from acaciaramp.metrics.client import Metrics
-from acaciaramp.platform.instances import decode_entries
+from acaciaramp.platform.instances import decode_entries, make_reader
+from tests.forwarding.endpoint import (
+    ReceivedRequest,
+    ScriptedEndpoint,
+    response_to,
+)
 
 VALID = (
     b'{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",'
@@ -30,3 +39,19 @@
     assert metrics.counts['bad_input.list_entry'] == 2 * len(INVALID)
     assert (found.id, found.host, found.port) == ('i-1', '10.0.0.9', 80)
     assert (found.slots, found.is_leaving, found.born_ms) == (12, True, 5)
+
+
+def test_list_whose_pages_never_end_is_an_error() -> None:
+    page = b'{"instances":[],"next":"again"}'
+
+    def next_page(request: ReceivedRequest) -> list[bytes | None]:
+        return [response_to(request, page)]
+
+    async def scenario() -> None:
+        async with ScriptedEndpoint(next_page).serving() as endpoint:
+            address = f'{endpoint.host}:{endpoint.port}'
+            read = make_reader(address, SystemClock(), Metrics())
+            with pytest.raises(CallError, match='pages'):
+                await read()
+
+    anyio.run(scenario)
