--- a/src/acaciaramp/conversations/client.py
+++ b/src/acaciaramp/conversations/client.py
@@ -58,7 +58,7 @@
 
         Args:
             links: Links to other instances.
-            storages: Returns the current storage instances.
+            storages: Returns the storage instances that may lead the ledger.
             clock: Clock for timeouts.
         """
         self._links = links
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -79,6 +79,7 @@
         tokens: Number of tokens that the turn generated.
         kept: The turn to store; None if it is not retained.
         at_ms: Wall-clock time at the sender, milliseconds.
+        endpoint: Endpoint that ran the turn; empty if none did.
     """
 
     turn: TurnKey
@@ -86,6 +87,7 @@
     tokens: int = 0
     kept: RetainedTurn | None = None
     at_ms: int = 0
+    endpoint: str = ''
 
 
 LedgerCommand = OpenTurn | CloseTurn
@@ -117,6 +119,8 @@
         is_new: Whether this is the first turn of its program.
         under_way: Number of open turns of the program, each of which counts
             with its maximum; set for ``EXHAUSTED`` only.
+        endpoint: Endpoint that ran the program's last turn, whose cache may
+            hold the beginning of the prompt; empty if unknown.
     """
 
     outcome: OpenOutcome
@@ -124,6 +128,7 @@
     spent: int = 0
     is_new: bool = False
     under_way: int = 0
+    endpoint: str = ''
 
 
 class CloseReply(msgspec.Struct, frozen=True, tag=True):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -75,6 +75,20 @@
         return self.program is not None and self.budget is not None
 
 
+class TurnResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What an endpoint generated for a turn.
+
+    Attributes:
+        tokens: Number of tokens.
+        output: Data of its events, each followed by a line feed.
+        endpoint: Id of the endpoint.
+    """
+
+    tokens: int
+    output: bytes
+    endpoint: str = ''
+
+
 class OpenedTurn:
     """A turn that may be sent to an endpoint.
 
@@ -82,13 +96,22 @@
         plan: Parameters of the turn.
         chain: Contents of the turns that it continues, oldest first.
         is_new: Whether it is the first turn of its program.
+        endpoint: Endpoint that ran the program's last turn; empty if unknown.
     """
 
-    def __init__(self, plan: TurnPlan, chain: bytes, *, is_new: bool) -> None:
+    def __init__(
+        self,
+        plan: TurnPlan,
+        chain: bytes,
+        *,
+        is_new: bool,
+        endpoint: str = '',
+    ) -> None:
         """Create the turn from the reply of the ledger."""
         self.plan = plan
         self.chain = chain
         self.is_new = is_new
+        self.endpoint = endpoint
 
     @property
     def body(self) -> bytes:
@@ -177,10 +200,12 @@
                 f'a request "{plan.key.attempt}" has ended before',
             )
         chain = reply.chain if cached is None else cached
-        return OpenedTurn(plan, chain, is_new=reply.is_new)
+        return OpenedTurn(
+            plan, chain, is_new=reply.is_new, endpoint=reply.endpoint
+        )
 
     async def commit(
-        self, turn: OpenedTurn, tokens: int, output: bytes, wait_ms: int
+        self, turn: OpenedTurn, result: TurnResult, wait_ms: int
     ) -> None:
         """Settle a complete turn and store it for later turns.
 
@@ -188,15 +213,14 @@
 
         Args:
             turn: The turn.
-            tokens: Number of tokens that it generated.
-            output: Data of its events, each followed by a line feed.
+            result: What the endpoint generated.
             wait_ms: Time limit, milliseconds.
 
         Raises:
             CallError: The ledger did not reply in time.
         """
         plan = turn.plan
-        content = plan.content + output
+        content = plan.content + result.output
         now_ms = self._clock.wall_ms()
         kept = RetainedTurn(
             previous=plan.previous,
@@ -206,19 +230,21 @@
         req = CloseTurn(
             turn=plan.key,
             program=plan.program,
-            tokens=tokens,
+            tokens=result.tokens,
             kept=kept,
             at_ms=now_ms,
+            endpoint=result.endpoint,
         )
         await self._ledger.close_turn(req, wait_ms)
         self._cache.put(plan.key, turn.chain + content)
 
-    def settle(self, plan: TurnPlan, tokens: int) -> None:
+    def settle(self, plan: TurnPlan, tokens: int, endpoint: str = '') -> None:
         """Settle a turn in the background; nothing happens without a budget.
 
         Args:
             plan: Parameters of the turn.
             tokens: Number of tokens that it generated.
+            endpoint: Endpoint that ran it; empty if none did.
         """
         if plan.reservation() is None:
             return
@@ -227,6 +253,7 @@
             program=plan.program,
             tokens=tokens,
             at_ms=self._clock.wall_ms(),
+            endpoint=endpoint,
         )
         self._pending_settlements += 1
         self._tasks.start_soon(self._settle, req)
--- a/src/acaciaramp/coordination/codec.py
+++ b/src/acaciaramp/coordination/codec.py
@@ -1,13 +1,22 @@
-"""MessagePack encoding of requests to the control instances."""
+"""Encoding of requests to the control instances, and of routing tables.
+
+Tables are stored and sent compressed: every instance gets each of them, over
+links that are narrow between regions.
+"""
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from acaciaramp.coordination.messages import ControlReply, ControlRequest
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.peering import replies as peering_replies
+from acaciaramp.routing.checks import InvalidTableError
 
+# No JSON document begins with this byte.
+_ZLIB_START = b'x'
 encode = msgspec.msgpack.Encoder().encode
 _request_decoder = msgspec.msgpack.Decoder(ControlRequest)
 _reply_decoder = msgspec.msgpack.Decoder(ControlReply)
@@ -32,3 +41,24 @@
         CallError: The bytes are not an encoded reply.
     """
     return peering_replies.decode_reply(_reply_decoder, encoded)
+
+
+def pack_table(body: bytes) -> bytes:
+    """Compress a routing table as operators send it."""
+    return zlib.compress(body)
+
+
+def unpack_table(packed: bytes) -> bytes:
+    """Return a routing table as operators sent it.
+
+    Logs of earlier builds hold tables that are not compressed.
+
+    Raises:
+        InvalidTableError: The compressed table is damaged.
+    """
+    if not packed.startswith(_ZLIB_START):
+        return packed
+    try:
+        return zlib.decompress(packed)
+    except zlib.error as exc:
+        raise InvalidTableError([f'not a compressed table: {exc}']) from None
--- a/src/acaciaramp/coordination/directory.py
+++ b/src/acaciaramp/coordination/directory.py
@@ -11,6 +11,7 @@
         LedgerReplicaStatus,
         Node,
     )
+    from acaciaramp.ids import InstanceId
     from acaciaramp.settings.node import RoleName
 
 # An instance may lose four consecutive reports before it expires.
@@ -81,7 +82,7 @@
         """
         return self._ledger_statuses.get(instance)
 
-    def ledger_voters(self) -> tuple[str, ...] | None:
+    def ledger_voters(self) -> tuple[InstanceId, ...] | None:
         """Return the ledger's voters as its leader reports them.
 
         None if no instance reports that it leads the ledger.
--- a/src/acaciaramp/coordination/follower.py
+++ b/src/acaciaramp/coordination/follower.py
@@ -36,6 +36,10 @@
 # wait for an election; more than twice that leaves time for the network and for
 # a sync of the leader's disk.
 _REPORT_TIMEOUT_MS = 1_200
+# The timeout doubles after each report that times out on an open connection, up to
+# this one: a large reply must arrive at some time, however slow the link is.
+_LONGEST_REPORT_TIMEOUT_MS = 9_600
+_MAX_TIMEOUT_DOUBLINGS = 3
 # One attempt at one control instance; longer than a round trip and a sync.
 _ATTEMPT_TIMEOUT_MS = 700
 _RETRY_DELAY_MS = 100
@@ -90,6 +94,7 @@
         self._version = 0
         self._number = ViewNumber()
         self._leader: InstanceId | None = None
+        self._timeouts = 0
         self._attempt_numbers = itertools.count()
 
     async def run(self) -> None:
@@ -108,8 +113,10 @@
                 )
                 _check_type(reply, FollowReply)
             except CallError as exc:
+                self._record_timeout(target, exc)
                 await self._clock.sleep_ms(self._on_failure(target, exc))
                 continue
+            self._timeouts = 0
             self._on_reply(target, cast('FollowReply', reply))
 
     async def request(
@@ -143,6 +150,20 @@
             return cast('_Reply', reply)
         raise failure
 
+    async def notify(self, req: ControlRequest) -> None:
+        """Send a request to the leader once, whether or not it arrives."""
+        if self._leader is None:
+            return
+        try:
+            await self._send_to(self._leader, req, _ATTEMPT_TIMEOUT_MS)
+        except CallError as exc:
+            logger.info(
+                'A notification may not have reached the control leader; it '
+                'is not repeated.',
+                instance=self._leader,
+                reason=exc,
+            )
+
     def silence_ms(self) -> int | None:
         """Return the milliseconds since the last reply to a report.
 
@@ -174,11 +195,16 @@
         It is shorter without a connection, so that another instance is tried
         soon.
         """
-        return (
-            _REPORT_TIMEOUT_MS
-            if self._links.get(target).is_connected
-            else _ATTEMPT_TIMEOUT_MS
-        )
+        if not self._links.get(target).is_connected:
+            return _ATTEMPT_TIMEOUT_MS
+        timeout_ms = _REPORT_TIMEOUT_MS << self._timeouts
+        return min(timeout_ms, _LONGEST_REPORT_TIMEOUT_MS)
+
+    def _record_timeout(self, target: InstanceId, exc: CallError) -> None:
+        """Count a report that was not answered though the link is open."""
+        is_timeout = exc.refusal.code is ErrorCode.HOME_UNREACHABLE
+        if is_timeout and self._links.get(target).is_connected:
+            self._timeouts = min(self._timeouts + 1, _MAX_TIMEOUT_DOUBLINGS)
 
     def _on_failure(self, target: InstanceId, exc: CallError) -> int:
         """Choose the next target after a failed request to ``target``.
--- a/src/acaciaramp/coordination/grants.py
+++ b/src/acaciaramp/coordination/grants.py
@@ -1,24 +1,27 @@
-"""Token buckets of the workspaces' shared rates, granted by a single owner.
+"""Limits of the workspaces' shared rates, granted by a single owner.
 
 The owner is the leader of the control group. It stores *checkpoints* in the
-group's log, so that the next owner knows how many tokens remain: a checkpoint
-holds the tokens that the owner leaves in the bucket until it has stored a newer
-one, and its *allowance* is what it may grant above them. A new owner starts
-from the stored checkpoints and adds the tokens refilled since it applied them.
-All owners together therefore never exceed one rate, however often they change.
+group's log, so that the next owner knows what may have been granted: a
+checkpoint holds the tokens granted in the last window, and its *allowance* is
+what the owner may grant until it has stored a newer one. A new owner counts both
+as granted at the latest possible time. All owners together therefore never
+exceed one limit, however often they change. Only the checkpoints of workspaces
+that were granted tokens are stored anew.
 """
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from acaciaramp.coordination.messages import GrantReply, RateCheckpoint
-from acaciaramp.limits.bucket import TokenBucket
+from acaciaramp.limits.window import WindowLimit
 
 if TYPE_CHECKING:
     from acaciaramp.clock import Clock
+    from acaciaramp.coordination.messages import GrantRequest
     from acaciaramp.routing.model import WorkspacePolicy
 
     Checkpoints = dict[str, RateCheckpoint]
@@ -26,66 +29,72 @@
 # Share of each rate that the owner grants. Entry instances keep the rest, so
 # that one that is partitioned from the owner can still admit requests.
 _POOLED_SHARE = 0.9
-# Share of each burst reserved for programs that have started: refusing a
-# program halfway wastes the tokens that it has already used.
-_RESERVED_SHARE = 0.3
 # Lifetime of a granted token. Tokens granted up to this long before a quota
 # window may be used within it; a tenth of the 5 s window is within the allowed
 # overrun.
 GRANT_LIFETIME_MS = 500
-# Share of each burst that the owner may grant between two checkpoints. A larger
-# share leaves the next owner fewer tokens to start with.
-_ALLOWANCE_SHARE = 0.5
-_MIN_ALLOWANCE = 4
+# Share of each window that the owner may grant between two checkpoints. A
+# larger share leaves the next owner fewer tokens to start with.
+_ALLOWANCE_SHARE = 0.25
+_MIN_ALLOWANCE = 8
+# Parts of a window in which checkpoints count grants separately, so that they
+# leave the window of the next owner one after the other.
+_AGES = 10
 # Retry delay for a token that needs a newer checkpoint, longer than a commit
 # takes.
-_CHECKPOINT_WAIT_MS = 40
+_CHECKPOINT_WAIT_MS = 20
 
 
 class _RatePool(msgspec.Struct):
     """The pooled share of one workspace's rate.
 
     Attributes:
-        bucket: Its token bucket.
+        limit: Its limit.
         allowance: Tokens that may be granted before the next checkpoint is
             stored.
         granted: Tokens granted since the newest checkpoint was made.
+        is_stored: Whether a checkpoint of this owner was stored.
     """
 
-    bucket: TokenBucket
+    limit: WindowLimit
     allowance: int = 0
     granted: int = 0
+    is_stored: bool = False
 
 
 class RatePools:
     """The pooled shares of all workspaces' rates."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, window_ms: int) -> None:
         """Create the pools without workspaces.
 
         Args:
-            clock: Source of time for the buckets.
+            clock: Source of time for the limits.
+            window_ms: Window over which rates are limited, milliseconds.
         """
         self._clock = clock
+        self._window_ms = window_ms
         self._pools: dict[str, _RatePool] = {}
         self._checkpoints: dict[str, RateCheckpoint] = {}
-        self._checkpoints_ms = clock.now_ms()
+        self._applied_ms: dict[str, int] = {}
 
     @property
     def has_granted(self) -> bool:
         """Whether any token was granted since the newest checkpoints."""
         return any(pool.granted for pool in self._pools.values())
 
-    def start(self, checkpoints: Checkpoints, applied_ms: int) -> None:
+    def start(
+        self, checkpoints: Checkpoints, applied_ms: dict[str, int]
+    ) -> None:
         """Drop all pools; ``configure`` recreates them from checkpoints.
 
         Args:
-            checkpoints: The previous owner's stored checkpoints.
-            applied_ms: When this instance applied them, on its clock.
+            checkpoints: The previous owners' stored checkpoints.
+            applied_ms: When this instance applied each, on its clock.
         """
         self._pools = {}
         self._checkpoints = dict(checkpoints)
-        self._checkpoints_ms = applied_ms
+        self._applied_ms = dict(applied_ms)
 
     def configure(
         self, workspaces: tuple[WorkspacePolicy, ...], entries: int
@@ -106,19 +115,23 @@
             burst = share * item.burst
             pool = previous.get(item.name)
             if pool is None:
-                pool = _RatePool(self._make_bucket(item.name, rate, burst))
-            pool.bucket.set_limits(rate, burst)
+                pool = _RatePool(self._make_limit(item.name, rate, burst))
+            pool.limit.set_limits(rate, burst)
             self._pools[item.name] = pool
 
     def make_checkpoints(self) -> Checkpoints:
-        """Return the checkpoints to store next; reset the grant counts."""
+        """Return the checkpoints to store next; reset the grant counts.
+
+        Those that are still true and allow enough grants are left out.
+        """
         checkpoints: dict[str, RateCheckpoint] = {}
         for workspace, pool in self._pools.items():
-            tokens = pool.bucket.tokens
-            limit = max(_MIN_ALLOWANCE, _ALLOWANCE_SHARE * pool.bucket.burst)
-            allowance = int(min(tokens, limit))
+            is_due = pool.granted or not pool.is_stored
+            if not is_due and not _is_allowance_low(pool):
+                continue
+            allowance = _possible_allowance(pool)
             checkpoints[workspace] = RateCheckpoint(
-                tokens - allowance, allowance
+                allowance, pool.limit.counts_by_age(_AGES)
             )
             pool.granted = 0
         return checkpoints
@@ -132,51 +145,54 @@
             pool = self._pools.get(workspace)
             if pool is not None:
                 pool.allowance = checkpoint.allowance - pool.granted
+                pool.is_stored = True
 
-    def grant(self, workspace: str, *, is_new: bool) -> GrantReply:
-        """Grant a token of a workspace's rate, if one is available.
-
-        Args:
-            workspace: The workspace.
-            is_new: Whether the token is for a program that has not started;
-                the reserved tokens go only to programs that have.
-        """
-        pool = self._pools.get(workspace)
+    def grant(self, req: GrantRequest) -> GrantReply:
+        """Grant a token of a workspace's rate, if one is available."""
+        pool = self._pools.get(req.workspace)
         if pool is None:
             return GrantReply(0)
-        reserve = _RESERVED_SHARE * pool.bucket.burst if is_new else 0
-        if not pool.bucket.has_token(reserve):
-            return GrantReply(0, pool.bucket.wait_ms(reserve))
+        if not pool.limit.has_token():
+            return GrantReply(0, pool.limit.wait_ms())
         if pool.allowance < 1:
             return GrantReply(0, _CHECKPOINT_WAIT_MS)
-        pool.bucket.try_consume()
+        pool.limit.try_consume()
         pool.allowance -= 1
         pool.granted += 1
         return GrantReply(1)
 
+    def take_back(self, workspace: str) -> None:
+        """Take back a granted token that is not used."""
+        pool = self._pools.get(workspace)
+        if pool is not None:
+            pool.limit.forget()
+
     def needs_checkpoint(self) -> bool:
-        """Return whether an allowance runs out while its bucket has tokens."""
-        return any(
-            pool.allowance < _MIN_ALLOWANCE and pool.bucket.has_token()
-            for pool in self._pools.values()
-        )
+        """Return whether an allowance runs out while its limit has tokens."""
+        return any(map(_is_allowance_low, self._pools.values()))
+
+    def is_allowance_low(self, workspace: str) -> bool:
+        """Return whether the allowance of a workspace runs out."""
+        pool = self._pools.get(workspace)
+        return pool is not None and _is_allowance_low(pool)
 
-    def _make_bucket(
+    def _make_limit(
         self, workspace: str, rate: float, burst: float
-    ) -> TokenBucket:
-        """Create the bucket of a workspace that has none yet.
+    ) -> WindowLimit:
+        """Create the limit of a workspace that has none yet.
 
-        With a checkpoint of the previous owner, the bucket refills from the
-        time at which the checkpoint was applied, short of the allowance that
-        the previous owner may have granted. Without one it starts empty.
+        Without a checkpoint, a whole window may just have been granted.
         """
+        now_ms = self._clock.now_ms()
+        limit = WindowLimit(rate, burst, self._window_ms, self._clock)
         checkpoint = self._checkpoints.pop(workspace, None)
-        if checkpoint is None:
-            return TokenBucket(rate, burst, self._clock.now_ms(), self._clock)
-        capacity = max(0, burst - checkpoint.allowance)
-        bucket = TokenBucket(rate, capacity, self._checkpoints_ms, self._clock)
-        bucket.add(checkpoint.tokens)
-        return bucket
+        if checkpoint is None or not checkpoint.by_age:
+            limit.record(math.ceil(limit.most), now_ms)
+            return limit
+        applied_ms = self._applied_ms.get(workspace, now_ms)
+        limit.record_by_age(checkpoint.by_age, applied_ms)
+        limit.record(checkpoint.allowance, now_ms)
+        return limit
 
 
 def local_share(workspace: WorkspacePolicy, entries: int) -> float:
@@ -191,3 +207,14 @@
     """
     share = (1 - _POOLED_SHARE) / max(1, entries)
     return share if share * workspace.burst >= 1 else 0
+
+
+def _possible_allowance(pool: _RatePool) -> int:
+    """Return the number of tokens that a checkpoint made now would allow."""
+    most = max(_MIN_ALLOWANCE, _ALLOWANCE_SHARE * pool.limit.most)
+    return max(0, int(min(pool.limit.tokens, most)))
+
+
+def _is_allowance_low(pool: _RatePool) -> bool:
+    """Return whether a checkpoint would at least double the allowance."""
+    return _possible_allowance(pool) > 2 * max(0, pool.allowance)
--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -7,6 +7,7 @@
 import anyio
 
 from acaciaramp.coordination.codec import encode
+from acaciaramp.coordination.locality import order_as_replicas
 from acaciaramp.coordination.messages import (
     ControlReply,
     ControlRequest,
@@ -25,6 +26,7 @@
     ReplicaMessageReply,
     Retire,
     RetireOrder,
+    ReturnToken,
     SeedLedger,
     StateReply,
     StoreRates,
@@ -44,7 +46,7 @@
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.directory import Directory
@@ -66,12 +68,10 @@
 # less time once most instances run.
 _ELECTION_WAIT_MS = 400
 _LEADER_TICK_MS = 200
-# The list is read at least twice within the shortest time after which no
-# request may go to a leaving endpoint.
-_LIST_PERIOD_MS = 700
-# Beyond this age the list is withdrawn from the view, and entry instances read
-# it themselves.
-_LIST_MAX_AGE_MS = 1_600
+_LIST_TICK_MS = 100
+# Number of periods after which a list that could not be read again is withdrawn
+# from the view, so that entry instances read it themselves.
+_LIST_MAX_AGE_PERIODS = 2
 # All live instances find a new leader within this time.
 _SETTLE_MS = 3_000
 # Storage instances start within a second of each other. Once this instance has
@@ -93,6 +93,8 @@
         read_endpoints: ReadEndpoints,
         decode_table: DecodeTable,
         target_voters: int,
+        rate_window_ms: int,
+        list_period_ms: int,
         metrics: Metrics,
     ) -> None:
         """Create the service; ``run`` starts it.
@@ -106,6 +108,8 @@
                 ``CallError``.
             decode_table: Decodes a routing table as operators send it.
             target_voters: Number of voters that the ledger needs.
+            rate_window_ms: Window over which rates are limited, milliseconds.
+            list_period_ms: Time between two reads of the instance list.
             metrics: Counts requests for tokens by outcome.
         """
         self._group = group
@@ -116,11 +120,17 @@
         self._target_voters = target_voters
         self._metrics = metrics
         self._rates = RateOwner(
-            lambda: state_machine.state, clock, decode_table, self._propose
+            lambda: state_machine.state,
+            clock,
+            decode_table,
+            self._propose,
+            rate_window_ms,
         )
+        self._list_period_ms = list_period_ms
         self._quarantine = Quarantine(clock)
         self._endpoints: tuple[Endpoint, ...] | None = None
         self._endpoints_read_ms = 0
+        self._ledger_voters: tuple[InstanceId, ...] = ()
         self._updated = anyio.Event()
         self._view = View()
         self._number = ViewNumber()
@@ -155,9 +165,9 @@
         self._require_leadership()
         return await self._handle_as_leader(req)
 
-    def on_rates_applied(self) -> None:
+    def on_rates_applied(self, workspaces: Iterable[str]) -> None:
         """Record that rate checkpoints have been applied here."""
-        self._rates.on_checkpoints_applied()
+        self._rates.on_checkpoints_applied(workspaces)
 
     def notify_followers(self) -> None:
         """Wake the long polls that wait for an update."""
@@ -169,6 +179,9 @@
         match req:
             case GrantRequest():
                 return self._grant(req)
+            case ReturnToken():
+                self._rates.take_back(req)
+                return Done()
             case CrashReport():
                 self._quarantine.record_crash(req)
                 return Done()
@@ -328,10 +341,7 @@
             needed = self._target_voters // 2 + 1
         if len(nodes) < needed:
             return
-        # A leader with another replica in its region commits without a round
-        # trip between regions.
-        regions = [node.region for node in nodes]
-        best = max(nodes, key=lambda node: regions.count(node.region))
+        best = order_as_replicas(nodes, region=None)[0]
         status = self._directory.ledger_status(best.instance)
         if status is not None:
             logger.info(
@@ -355,7 +365,8 @@
         view = View(
             controls=self._instances_with_role(RoleName.CONTROL),
             entries=self._instances_with_role(RoleName.ENTRY),
-            storages=self._instances_with_role(RoleName.STORAGE),
+            storages=self._ordered_storages(),
+            ledger_voters=self._update_ledger_voters(),
             ledger_seed=state.ledger_seed,
             retiring=tuple(node.instance for node in state.retiring.values()),
             endpoints=self._endpoints,
@@ -369,6 +380,28 @@
             self._number = ViewNumber(term, self._number.count + 1)
             self.notify_followers()
 
+    def _ordered_storages(self) -> tuple[InstanceId, ...]:
+        """Return the storage instances, preferred replicas first.
+
+        Replicas are preferred in the region in which the ledger began.
+        """
+        nodes = self._directory.nodes_with_role(RoleName.STORAGE)
+        seed = self._state_machine.state.ledger_seed
+        regions = [
+            node.region
+            for node in nodes
+            if seed is not None and node.instance == seed.instance
+        ]
+        region = regions[0] if regions else None
+        return tuple(node.instance for node in order_as_replicas(nodes, region))
+
+    def _update_ledger_voters(self) -> tuple[InstanceId, ...]:
+        """Return the ledger's voters, the last known ones without a leader."""
+        voters = self._directory.ledger_voters()
+        if voters is not None:
+            self._ledger_voters = voters
+        return self._ledger_voters
+
     def _instances_with_role(self, role: RoleName) -> tuple[InstanceId, ...]:
         return tuple(
             node.instance for node in self._directory.nodes_with_role(role)
@@ -400,12 +433,20 @@
         return outcome
 
     async def _poll_endpoints(self) -> None:
-        """Read the platform's instance list while this instance leads."""
+        """Read the platform's instance list while this instance leads.
+
+        A new leader reads it at once.
+        """
+        due_ms = 0
         while True:
-            await self._clock.sleep_ms(_LIST_PERIOD_MS)
+            await self._clock.sleep_ms(_LIST_TICK_MS)
             if not self._group.is_serving:
                 self._endpoints = None
+                due_ms = 0
+                continue
+            if self._clock.now_ms() < due_ms:
                 continue
+            due_ms = self._clock.now_ms() + self._list_period_ms
             try:
                 self._endpoints = await self._read_endpoints()
             except CallError as exc:
@@ -422,5 +463,5 @@
             reason=exc,
             age_ms=age_ms,
         )
-        if age_ms > _LIST_MAX_AGE_MS:
+        if age_ms > _LIST_MAX_AGE_PERIODS * self._list_period_ms:
             self._endpoints = None
--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -69,7 +69,10 @@
     Attributes:
         controls: Control instances that report.
         entries: Entry instances that report.
-        storages: Storage instances that report.
+        storages: Storage instances that report, in the order in which they
+            are preferred as replicas of the ledger.
+        ledger_voters: Instances of the ledger's voters, as its leader reports
+            them; empty while none does.
         ledger_seed: The replica that bootstraps the ledger.
         retiring: Storage instances to retire.
         endpoints: All endpoints; None while the leader has no recent instance
@@ -82,6 +85,7 @@
     controls: tuple[InstanceId, ...] = ()
     entries: tuple[InstanceId, ...] = ()
     storages: tuple[InstanceId, ...] = ()
+    ledger_voters: tuple[InstanceId, ...] = ()
     ledger_seed: Member | None = None
     retiring: tuple[InstanceId, ...] = ()
     endpoints: tuple[Endpoint, ...] | None = None
@@ -136,7 +140,7 @@
 
     Attributes:
         version: Version of the newest routing table; 0 for none.
-        table: That table as operators sent it; None if it is not newer.
+        table: That table, compressed; None if it is not newer.
         number: Number of the newest view.
         view: That view; None if it is not newer.
     """
@@ -152,11 +156,9 @@
 
     Attributes:
         workspace: The workspace.
-        is_new: Whether the token is for a program that has not started.
     """
 
     workspace: WorkspaceId
-    is_new: bool
 
 
 class GrantReply(msgspec.Struct, frozen=True, tag=True):
@@ -172,6 +174,18 @@
     wait_ms: int | None = None
 
 
+class ReturnToken(msgspec.Struct, frozen=True, tag=True):
+    """Returns a granted token that is not used.
+
+    It is sent once: a token that was returned twice would be granted twice.
+
+    Attributes:
+        workspace: The workspace.
+    """
+
+    workspace: WorkspaceId
+
+
 class CrashReport(msgspec.Struct, frozen=True, tag=True):
     """Reports that an endpoint crashed while it ran a request.
 
@@ -185,7 +199,7 @@
 
 
 class Done(msgspec.Struct, frozen=True, tag=True):
-    """Acknowledges a ``CrashReport``."""
+    """Acknowledges a ``CrashReport`` or a ``ReturnToken``."""
 
 
 class ReplicaMessage(msgspec.Struct, frozen=True, tag=True):
@@ -213,7 +227,7 @@
 
     Attributes:
         version: Version of the table.
-        body: The table as operators sent it.
+        body: The table, compressed.
     """
 
     version: int
@@ -243,23 +257,25 @@
 
 
 class RateCheckpoint(msgspec.Struct, frozen=True):
-    """Stored lower bound of the tokens in one workspace's shared bucket.
+    """What may have been granted of one workspace's shared rate.
 
     Attributes:
-        tokens: Tokens that the owner leaves in the bucket until it has stored
-            a newer checkpoint.
-        allowance: Tokens above that bound, which it may grant until then.
+        allowance: Tokens that the owner may grant until it has stored a newer
+            checkpoint.
+        by_age: Tokens granted in the window that ended when the checkpoint was
+            made, by age in equal parts of the window, newest first; empty if
+            unknown.
     """
 
-    tokens: float
     allowance: int
+    by_age: tuple[int, ...] = ()
 
 
 class StoreRates(msgspec.Struct, frozen=True, tag=True):
-    """Command: stores checkpoints of the shared rates.
+    """Command: stores checkpoints of some workspaces' shared rates.
 
     Attributes:
-        levels: Checkpoints by workspace.
+        levels: Checkpoints by workspace; the others stay as they are.
     """
 
     levels: dict[str, RateCheckpoint]
@@ -313,8 +329,8 @@
 
     Attributes:
         version: Version of the table; 0 if there is none.
-        body: The table as operators sent it; empty if there is none, and in
-            reply to ``StoreRates``.
+        body: The table, compressed; set in reply to ``ReadState`` only, and
+            empty if there is none.
     """
 
     version: int
@@ -335,6 +351,7 @@
 ControlRequest = (
     FollowRequest
     | GrantRequest
+    | ReturnToken
     | CrashReport
     | ReplicaMessage
     | StoreTable
--- a/src/acaciaramp/coordination/rates.py
+++ b/src/acaciaramp/coordination/rates.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
+import anyio
+
+from acaciaramp.coordination.codec import unpack_table
 from acaciaramp.coordination.grants import RatePools
 from acaciaramp.coordination.messages import (
     GrantReply,
     GrantRequest,
+    ReturnToken,
     StoreRates,
 )
 from acaciaramp.errors import CallError
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.state_machine import ControlState
@@ -24,10 +29,10 @@
 
 logger = get_logger('coordination')
 
-# Checkpoints are stored at this period while tokens are granted, and at the
-# next tick when the owner is about to use up an allowance.
+# Checkpoints are stored at this period while tokens are granted, and at once when
+# the owner is about to use up an allowance.
 _CHECKPOINT_PERIOD_MS = 500
-_TICK_MS = 40
+_TICK_MS = 100
 
 
 class RateOwner:
@@ -43,6 +48,7 @@
         clock: Clock,
         decode_table: Callable[[bytes], RoutingTable],
         propose: Propose,
+        window_ms: int,
     ) -> None:
         """Create the owner; it owns nothing until ``start`` is called.
 
@@ -51,27 +57,30 @@
             clock: Source of time.
             decode_table: Decodes a routing table as operators send it.
             propose: Commits a command; raises ``CallError``.
+            window_ms: Window over which rates are limited, milliseconds.
         """
         self.entries = 0
         self._state = state
         self._clock = clock
         self._decode_table = decode_table
         self._propose = propose
-        self._pools = RatePools(clock)
-        self._checkpoints_ms = clock.now_ms()
+        self._pools = RatePools(clock, window_ms)
+        self._applied_ms: dict[str, int] = {}
         self._is_owner = False
         self._configured_for = (0, 0)
+        self._allowance_low = anyio.Event()
 
-    def on_checkpoints_applied(self) -> None:
-        """Record the current time as that of the newest checkpoints.
+    def on_checkpoints_applied(self, workspaces: Iterable[str]) -> None:
+        """Record the current time as that of the workspaces' checkpoints.
 
         Called when the state machine has applied them.
         """
-        self._checkpoints_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        self._applied_ms.update(dict.fromkeys(workspaces, now_ms))
 
     def start(self) -> None:
         """Become the owner and continue from the stored checkpoints."""
-        self._pools.start(self._state().rates, self._checkpoints_ms)
+        self._pools.start(self._state().rates, self._applied_ms)
         self._configured_for = (0, 0)
         self._is_owner = True
 
@@ -82,13 +91,20 @@
     def grant(self, req: GrantRequest) -> GrantReply:
         """Grant or refuse a token; the caller must check the leadership."""
         self._configure()
-        return self._pools.grant(req.workspace, is_new=req.is_new)
+        reply = self._pools.grant(req)
+        if self._pools.is_allowance_low(req.workspace):
+            self._allowance_low.set()
+        return reply
+
+    def take_back(self, req: ReturnToken) -> None:
+        """Take back a granted token that is not used."""
+        self._pools.take_back(req.workspace)
 
     async def run(self) -> None:
         """Store checkpoints while this instance is the owner."""
         stored_ms = 0
         while True:
-            await self._clock.sleep_ms(_TICK_MS)
+            await self._wait_tick()
             if not self._is_owner:
                 continue
             self._configure()
@@ -99,6 +115,13 @@
                 stored_ms = self._clock.now_ms()
                 await self._store_checkpoints()
 
+    async def _wait_tick(self) -> None:
+        """Return after a tick, or earlier if an allowance is low."""
+        timeout = self._clock.timeout(_TICK_MS)
+        with contextlib.suppress(TimeoutError), timeout:
+            await self._allowance_low.wait()
+        self._allowance_low = anyio.Event()
+
     async def _store_checkpoints(self) -> None:
         checkpoints = self._pools.make_checkpoints()
         try:
@@ -118,5 +141,5 @@
         wanted = state.version, self.entries
         if state.version and wanted != self._configured_for:
             self._configured_for = wanted
-            table = self._decode_table(state.body)
+            table = self._decode_table(unpack_table(state.body))
             self._pools.configure(table.workspaces, self.entries)
--- a/src/acaciaramp/coordination/state_machine.py
+++ b/src/acaciaramp/coordination/state_machine.py
@@ -20,7 +20,7 @@
 from acaciaramp.replication.members import Member
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 _command_decoder = msgspec.msgpack.Decoder(Command)
 _encode = msgspec.msgpack.Encoder().encode
@@ -31,7 +31,7 @@
 
     Attributes:
         version: Version of the newest routing table; 0 if there is none.
-        body: That table as operators sent it.
+        body: That table, compressed.
         ledger_seed: The replica that bootstraps the ledger.
         retiring: Storage instances to retire, by name.
         rates: Newest checkpoints of the shared rates, by workspace.
@@ -54,18 +54,25 @@
         state: The current state.
     """
 
-    def __init__(
-        self, on_change: Callable[[], None], on_rates: Callable[[], None]
+    def __init__(self) -> None:
+        """Create the state machine with an empty state."""
+        self.state = ControlState()
+        self._on_change: Callable[[], None] = _ignore
+        self._on_rates: Callable[[Iterable[str]], None] = _ignore
+
+    def subscribe(
+        self,
+        on_change: Callable[[], None],
+        on_rates: Callable[[Iterable[str]], None],
     ) -> None:
-        """Create the state machine with an empty state.
+        """Set the functions that are called after changes of the state.
 
         Args:
             on_change: Called after a command that may change anything but the
                 rates, and after ``restore``.
-            on_rates: Called after a change of the rates, and after
-                ``restore``.
+            on_rates: Called with the workspaces whose checkpoints were
+                stored, or restored.
         """
-        self.state = ControlState()
         self._on_change = on_change
         self._on_rates = on_rates
 
@@ -73,7 +80,8 @@
         """Apply an encoded command.
 
         Returns:
-            The newest routing table; without its body for ``StoreRates``.
+            The version of the newest routing table, and for ``ReadState`` the
+            table itself.
         """
         command = _command_decoder.decode(payload)
         state = self.state
@@ -87,13 +95,13 @@
             case Retire(node=node):
                 state.retiring[node.name] = node
             case StoreRates(levels=checkpoints):
-                state.rates = checkpoints
-                self._on_rates()
+                state.rates.update(checkpoints)
+                self._on_rates(checkpoints)
                 return StateReply(state.version, b'')
             case ReadState():
                 return StateReply(state.version, state.body)
         self._on_change()
-        return StateReply(state.version, state.body)
+        return StateReply(state.version, b'')
 
     def snapshot(self) -> bytes:
         """Return the encoded state."""
@@ -102,5 +110,9 @@
     def restore(self, state: bytes) -> None:
         """Replace the state by an encoded one; empty bytes reset it."""
         self.state = _state_decoder.decode(state) if state else ControlState()
-        self._on_rates()
+        self._on_rates(self.state.rates)
         self._on_change()
+
+
+def _ignore(*_: object) -> None:
+    """Do nothing, as nobody has subscribed yet."""
--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -26,6 +26,7 @@
             process.
         turn: The opened turn; None for a request without one.
         runs: Number of attempts that may have executed the request.
+        endpoint: Endpoint of the last attempt; empty before the first.
     """
 
     inbound: InboundRequest
@@ -35,6 +36,7 @@
     deadline_ms: int
     turn: OpenedTurn | None = None
     runs: int = 0
+    endpoint: str = ''
 
     @property
     def body(self) -> bytes:
@@ -52,6 +54,11 @@
             return self.turn.is_new
         return self.inbound.turn.program is None
 
+    @property
+    def warm_endpoint(self) -> str:
+        """Endpoint that ran the program's last turn; empty if unknown."""
+        return '' if self.turn is None else self.turn.endpoint
+
     @property
     def affinity_key(self) -> str:
         """Session or object id shared by related requests; may be empty.
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -103,7 +103,7 @@
         """
         while True:
             endpoint = self._selector.choose(
-                call.service, call.affinity_key, excluded
+                call.service, call.affinity_key, excluded, call.warm_endpoint
             )
             if endpoint is not None:
                 return endpoint
@@ -128,6 +128,7 @@
             **self._selector.explain(endpoint, call.affinity_key),
         )
         self._selector.record_start(endpoint, call.affinity_key)
+        call.endpoint = endpoint.id
         try:
             await self._send_on_connection(call, endpoint, relay)
         finally:
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -17,6 +17,10 @@
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
     from acaciaramp.clock import Clock
     from acaciaramp.errors import Refusal
     from acaciaramp.forwarding.caller import Receive, Send
@@ -65,6 +69,7 @@
         forwarder: Forwarder,
         clock: Clock,
         metrics: Metrics,
+        return_token: Callable[[WorkspaceId], None],
     ) -> None:
         """Create the gateway.
 
@@ -76,7 +81,10 @@
             forwarder: Forwards requests to endpoints.
             clock: Source of time.
             metrics: Counts responses, refusals and invalid input.
+            return_token: Returns an unused token of a workspace's rate to its
+                owner.
         """
+        self._return_token = return_token
         self.is_stopping = False
         self.in_flight = 0
         self.quarantined: frozenset[str] = frozenset()
@@ -145,7 +153,7 @@
         failure: CallError | EndpointError | None = None
         async with anyio.create_task_group() as tasks:
             failure = await self._forward_while_connected(
-                inbound, route, workspace, caller, tasks.cancel_scope, tasks
+                inbound, route, workspace, caller, tasks
             )
         if failure is not None:
             raise failure
@@ -174,8 +182,7 @@
         route: Route,
         workspace: WorkspaceId | None,
         caller: Caller,
-        cancel_scope: anyio.CancelScope,
-        tasks: Any,
+        tasks: TaskGroup,
     ) -> CallError | EndpointError | None:
         """Forward the request; cancel it if the caller disconnects.
 
@@ -188,15 +195,15 @@
             await caller.wait_disconnected()
             if not caller.has_finished:
                 logger.info('The caller has gone.', attempt=inbound.attempt)
-            cancel_scope.cancel()
+            tasks.cancel_scope.cancel()
 
         tasks.start_soon(watch)
         try:
-            await self._forward(inbound, route, workspace, caller)
+            await self._forward(inbound, route, workspace, caller, tasks)
         except (CallError, EndpointError) as exc:
             return exc
         finally:
-            cancel_scope.cancel()
+            tasks.cancel_scope.cancel()
         return None
 
     async def _wait_for_table(self, inbound: InboundRequest) -> None:
@@ -250,6 +257,7 @@
         route: Route,
         workspace: WorkspaceId | None,
         caller: Caller,
+        tasks: TaskGroup,
     ) -> None:
         call = Call(
             inbound=inbound,
@@ -259,9 +267,14 @@
             deadline_ms=inbound.started_ms + _time_limit_ms(inbound, route),
         )
         self._check_quarantine(call)
-        # Before the rate limit: a turn that its budget does not allow must not
-        # consume a token of the rate.
-        call.turn = await self._turns.open(call)
+        prefetched = self._start_prefetch(call, tasks)
+        try:
+            call.turn = await self._turns.open(call)
+        except CallError:
+            # A turn that its budget does not allow uses no token of the rate.
+            await self._discard_prefetched(call, prefetched)
+            raise
+        await prefetched.wait()
         await self._admit(call)
         relay = Relay(
             call, caller, self._turns.make_before_finish(call), self._buffers
@@ -276,6 +289,34 @@
             raise
         self._record_response(call, relay)
 
+    def _start_prefetch(self, call: Call, tasks: TaskGroup) -> anyio.Event:
+        """Request a token while the ledger opens the turn of a call.
+
+        Both are in other instances, which may be in another region.
+
+        Returns:
+            An event that is set when the request has ended.
+        """
+        ended = anyio.Event()
+        if call.workspace is None or not self._turns.needs_ledger(call):
+            ended.set()
+            return ended
+
+        async def prefetch(workspace: WorkspaceId) -> None:
+            await self._quota.prefetch(workspace)
+            ended.set()
+
+        tasks.start_soon(prefetch, call.workspace)
+        return ended
+
+    async def _discard_prefetched(
+        self, call: Call, prefetched: anyio.Event
+    ) -> None:
+        await prefetched.wait()
+        workspace = call.workspace
+        if workspace is not None and self._quota.pop_granted(workspace):
+            self._return_token(workspace)
+
     async def _admit(self, call: Call) -> None:
         """Wait for a token of the workspace's rate limit.
 
@@ -286,11 +327,7 @@
             return
         started_ms = self._clock.now_ms()
         try:
-            await self._quota.admit(
-                call.workspace,
-                is_new=call.starts_program,
-                wait_ms=self._token_wait_ms(call),
-            )
+            await self._quota.admit(call.workspace, self._token_wait_ms(call))
         except BaseException:
             self._turns.settle_failed(call, Verdict.NOT_RUN)
             raise
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -1,4 +1,10 @@
-"""Selects the endpoint of each request by load, locality and affinity."""
+"""Selects the endpoint of each request by load, locality and affinity.
+
+Answers the load of many entry instances of which each sends few requests: such
+an instance often knows no endpoint's load, so what costs the same is chosen at
+random, and the endpoint that ran a program's last turn is known by the ledger's
+word.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +16,7 @@
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Collection, Mapping
 
     from acaciaramp.clock import Clock
@@ -62,6 +69,7 @@
         region: str,
         regions: Mapping[AvailabilityZone, str],
         clock: Clock,
+        rng: random.Random,
     ) -> None:
         """Create the selector without endpoints.
 
@@ -70,7 +78,9 @@
             region: Region of this instance.
             regions: Region of each availability zone.
             clock: Source of time.
+            rng: Chooses among endpoints of equal cost.
         """
+        self._rng = rng
         self._zone = zone
         self._region = region
         self._regions = regions
@@ -107,7 +117,11 @@
         return bool(self._by_service)
 
     def choose(
-        self, service: ServiceName, affinity_key: str, excluded: Collection[str]
+        self,
+        service: ServiceName,
+        affinity_key: str,
+        excluded: Collection[str],
+        warm_endpoint: str = '',
     ) -> Endpoint | None:
         """Return the endpoint with the lowest cost for a request.
 
@@ -118,6 +132,8 @@
             service: Service of the request.
             affinity_key: Shared by related requests; empty for none.
             excluded: Ids of endpoints that must not be selected.
+            warm_endpoint: Endpoint whose cache is known to hold the beginning
+                of the prompt; empty if it is unknown.
 
         Returns:
             The endpoint; None if the service has none but the excluded ones.
@@ -135,10 +151,13 @@
             for endpoint in usable
             if self._states[endpoint.id].paused_until_ms <= now_ms
         ]
-        warm_id = self._endpoint_by_affinity.get(affinity_key)
-        return min(
-            active or usable, key=lambda item: self._cost(item, warm_id, now_ms)
-        )
+        warm_id = warm_endpoint or self._endpoint_by_affinity.get(affinity_key)
+
+        def rank(item: Endpoint) -> tuple[float, float]:
+            # Instances that know nothing must not all choose the same endpoint.
+            return self._cost(item, warm_id, now_ms), self._rng.random()
+
+        return min(active or usable, key=rank)
 
     def explain(self, endpoint: Endpoint, affinity_key: str) -> dict[str, Any]:
         """Return the inputs of a selection as log fields."""
@@ -200,6 +219,10 @@
             pause_ms=backoff_ms,
         )
 
+    def _is_in_region(self, endpoint: Endpoint) -> bool:
+        region = self._regions.get(endpoint.availability_zone, self._region)
+        return region == self._region
+
     def _cost(
         self, endpoint: Endpoint, warm_id: str | None, now_ms: int
     ) -> float:
@@ -210,8 +233,7 @@
         cost = busy + max(0, busy - endpoint.slots)
         if endpoint.availability_zone != self._zone:
             cost += _CROSS_ZONE_COST
-        region = self._regions.get(endpoint.availability_zone, self._region)
-        if region != self._region:
+        if not self._is_in_region(endpoint):
             cost += _CROSS_REGION_COST
         if warm_id is not None and warm_id != endpoint.id:
             cost += _CACHE_MISS_COST
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -7,7 +7,12 @@
 import anyio
 
 from acaciaramp.conversations.messages import TurnKey
-from acaciaramp.conversations.turns import OpenedTurn, TurnManager, TurnPlan
+from acaciaramp.conversations.turns import (
+    OpenedTurn,
+    TurnManager,
+    TurnPlan,
+    TurnResult,
+)
 from acaciaramp.ids import WorkspaceId
 from acaciaramp.metrics.names import Timer
 from acaciaramp.routing.model import RouteKind
@@ -49,6 +54,11 @@
         self._router = router
         self._clock = clock
 
+    def needs_ledger(self, call: Call) -> bool:
+        """Return whether ``open`` asks the ledger about a call."""
+        is_stream = call.route.kind is RouteKind.STREAMING
+        return is_stream and _plan(call).needs_ledger
+
     async def open(self, call: Call) -> OpenedTurn | None:
         """Open the turn of a call.
 
@@ -97,13 +107,15 @@
                 return
             tokens = self._generated_tokens(call, relay)
             if not turn.plan.retention_ms:
-                self._turns.settle(turn.plan, tokens)
+                self._turns.settle(turn.plan, tokens, call.endpoint)
                 return
-            output = bytes(relay.events.content)
+            result = TurnResult(
+                tokens=tokens,
+                output=bytes(relay.events.content),
+                endpoint=call.endpoint,
+            )
             with anyio.CancelScope(shield=True):
-                await self._turns.commit(
-                    turn, tokens, output, _COMMIT_TIMEOUT_MS
-                )
+                await self._turns.commit(turn, result, _COMMIT_TIMEOUT_MS)
             call.turn = None
 
         return before_finish
--- a/src/acaciaramp/limits/quota.py
+++ b/src/acaciaramp/limits/quota.py
@@ -14,10 +14,10 @@
 
 _DEFAULT_RETRY_MS = 500
 
-# Requests a token for a workspace; the flag says whether the request begins a
-# new program. Returns the number of tokens granted, 1 or 0, and the time after
-# which to ask again, milliseconds, or None if unknown.
-RequestTokens = Callable[[str, bool], Awaitable[tuple[int, int | None]]]
+
+# Requests a token for a workspace. Returns the number of tokens granted, 1 or 0, and the time
+# after which to ask again, milliseconds, or None if unknown.
+RequestTokens = Callable[[str], Awaitable[tuple[int, int | None]]]
 
 
 class _WorkspaceQuota:
@@ -30,12 +30,23 @@
         self.granted = 0
         self.granted_until_ms = 0
 
+    def has_token(self, now_ms: int) -> bool:
+        """Return whether there is a granted or a local token."""
+        return self._has_granted(now_ms) or self.bucket.has_token()
+
     def try_consume(self, now_ms: int) -> bool:
         """Consume a granted or a local token; return whether there was one."""
-        if self.granted and now_ms < self.granted_until_ms:
-            self.granted -= 1
-            return True
-        return self.bucket.try_consume()
+        return self.pop_granted(now_ms) or self.bucket.try_consume()
+
+    def pop_granted(self, now_ms: int) -> bool:
+        """Consume a granted token; return whether there was one."""
+        if not self._has_granted(now_ms):
+            return False
+        self.granted -= 1
+        return True
+
+    def _has_granted(self, now_ms: int) -> bool:
+        return self.granted > 0 and now_ms < self.granted_until_ms
 
 
 class Quota:
@@ -94,14 +105,35 @@
             share.burst = item.burst
             self._shares[item.name] = share
 
-    async def admit(
-        self, workspace: str, *, is_new: bool, wait_ms: int
-    ) -> None:
+    async def prefetch(self, workspace: str) -> None:
+        """Request a token that a request is about to need, without waiting.
+
+        Nothing is requested if a token is available here.
+
+        Args:
+            workspace: Workspace of the request.
+        """
+        share = self._shares.get(workspace)
+        if share is None or share.has_token(self._clock.now_ms()):
+            return
+        await self._request_grant(workspace, share)
+
+    def pop_granted(self, workspace: str) -> bool:
+        """Drop a granted token that is not used; return whether there was one.
+
+        The caller may return it to the owner.
+
+        Args:
+            workspace: Workspace of the token.
+        """
+        share = self._shares.get(workspace)
+        return share is not None and share.pop_granted(self._clock.now_ms())
+
+    async def admit(self, workspace: str, wait_ms: int) -> None:
         """Wait for a token and consume it for one request.
 
         Args:
             workspace: Workspace of the request.
-            is_new: Whether the request begins a program.
             wait_ms: Longest wait for a token, milliseconds.
 
         Raises:
@@ -112,7 +144,7 @@
             return
         deadline_ms = self._clock.now_ms() + wait_ms
         while True:
-            retry_ms = await self._request_grant(workspace, share, is_new)
+            retry_ms = await self._request_grant(workspace, share)
             now_ms = self._clock.now_ms()
             if share.try_consume(now_ms):
                 return
@@ -127,7 +159,7 @@
         )
 
     async def _request_grant(
-        self, workspace: str, share: _WorkspaceQuota, is_new: bool
+        self, workspace: str, share: _WorkspaceQuota
     ) -> int:
         """Request a token from the owner; return the time to the next request.
 
@@ -135,7 +167,7 @@
         """
         requested_ms = self._clock.now_ms()
         try:
-            granted, wait_ms = await self._request_tokens(workspace, is_new)
+            granted, wait_ms = await self._request_tokens(workspace)
         except CallError:
             return share.bucket.wait_ms() or _DEFAULT_RETRY_MS
         if granted:
--- a/src/acaciaramp/platform/operators.py
+++ b/src/acaciaramp/platform/operators.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from acaciaramp.coordination.codec import pack_table, unpack_table
 from acaciaramp.coordination.messages import (
     ControlRequest,
     OrderOutcome,
@@ -134,7 +135,7 @@
         if not state.version:
             # No config has been stored yet.
             return _Response(_UNAVAILABLE)
-        return _Response(_OK, state.body)
+        return _Response(_OK, unpack_table(state.body))
     if path.startswith(_RETIRE_PREFIX):
         name, _, verb = path.removeprefix(_RETIRE_PREFIX).partition('/')
         if (method, verb) == ('POST', 'begin'):
@@ -150,7 +151,9 @@
 async def _replace_config(follower: Follower, body: bytes) -> _Response:
     table = decode_table(body)
     state = await follower.request(
-        StoreTable(table.version, body), StateReply, _REPLY_TIMEOUT_MS
+        StoreTable(table.version, pack_table(body)),
+        StateReply,
+        _REPLY_TIMEOUT_MS,
     )
     logger.info(
         'A config was stored; acknowledging it.',
--- a/src/acaciaramp/replication/group.py
+++ b/src/acaciaramp/replication/group.py
@@ -71,7 +71,8 @@
             clock: Source of time.
             timing: Timeouts and intervals of the replicated log.
             tolerated_disk_losses: Number of disks that may be lost at once.
-            eligible: Returns the instances that may become members.
+            eligible: Returns the instances that may become members, in order
+                of preference.
             retiring: Returns the instances whose replicas are to be replaced.
         """
         self._clock = clock
@@ -244,7 +245,7 @@
         retiring = self._retiring()
         probed = [
             await self.replica.probe_member(instance)
-            for instance in sorted(self._eligible())
+            for instance in self._eligible()
             if instance not in members and instance not in retiring
         ]
         return [member for member in probed if member is not None]
--- a/src/acaciaramp/roles/control.py
+++ b/src/acaciaramp/roles/control.py
@@ -6,6 +6,7 @@
 import pathlib
 from typing import TYPE_CHECKING
 
+from acaciaramp.clock import MS_PER_SECOND
 from acaciaramp.coordination.codec import (
     decode_reply,
     decode_request,
@@ -13,6 +14,7 @@
 )
 from acaciaramp.coordination.directory import Directory
 from acaciaramp.coordination.leader import Coordinator
+from acaciaramp.coordination.locality import order_as_replicas
 from acaciaramp.coordination.messages import (
     ReplicaMessage,
     ReplicaMessageReply,
@@ -43,6 +45,9 @@
 logger = get_logger('control')
 
 _REPLICA_TIMEOUT_MS = 1_000
+# A leaving endpoint is noticed well within the time after which it must get no
+# more requests, even if one read fails.
+_LIST_READS_PER_DRAIN = 3
 _MAX_HEADER_BYTES = 16_384
 _HEADER_TIMEOUT_MS = 5_000
 _OPERATOR_LIMITS = HeaderLimits(_MAX_HEADER_BYTES, _HEADER_TIMEOUT_MS)
@@ -61,15 +66,13 @@
         cfg = context.cfg
         self._context = context
         self._adapter = adapter
-        self._state_machine = ControlStateMachine(
-            self._on_change, self._on_rates
-        )
+        state_machine = ControlStateMachine()
         self._directory = Directory(context.clock)
         store = DiskStore(pathlib.Path(cfg.data_folder or '') / 'control')
         self._group = Group(
             me=Member(context.node.instance, store.incarnation),
             store=store,
-            state_machine=self._state_machine,
+            state_machine=state_machine,
             send=_make_sender(context.links),
             clock=context.clock,
             timing=LOG_TIMING,
@@ -79,7 +82,7 @@
         )
         self._coordinator = Coordinator(
             group=self._group,
-            state_machine=self._state_machine,
+            state_machine=state_machine,
             directory=self._directory,
             clock=context.clock,
             read_endpoints=adapter.make_reader(
@@ -87,8 +90,14 @@
             ),
             decode_table=adapter.decode_table,
             target_voters=2 * cfg.tolerated_faults + 1,
+            rate_window_ms=int(cfg.bounds.quota_window_s * MS_PER_SECOND),
+            list_period_ms=int(cfg.bounds.drain_ms / _LIST_READS_PER_DRAIN),
             metrics=context.metrics,
         )
+        state_machine.subscribe(
+            self._coordinator.notify_followers,
+            self._coordinator.on_rates_applied,
+        )
         self._follower = context.make_follower(noop, noop, lambda: None)
 
     async def run(self, stop: anyio.Event) -> None:
@@ -124,15 +133,15 @@
         return encode(await self._coordinator.handle(decode_request(encoded)))
 
     def _eligible(self) -> list[InstanceId]:
-        """Return the instances that may join the control group."""
-        nodes = self._directory.nodes_with_role(RoleName.CONTROL)
-        return [node.instance for node in nodes]
+        """Return the instances that may join the control group.
 
-    def _on_change(self) -> None:
-        self._coordinator.notify_followers()
-
-    def _on_rates(self) -> None:
-        self._coordinator.on_rates_applied()
+        While this instance leads, its own region is preferred.
+        """
+        nodes = self._directory.nodes_with_role(RoleName.CONTROL)
+        return [
+            node.instance
+            for node in order_as_replicas(nodes, self._context.cfg.region)
+        ]
 
 
 def _make_sender(links: Links) -> Send:
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -8,12 +8,14 @@
 from acaciaramp.conversations.cache import ChainCache
 from acaciaramp.conversations.client import LedgerClient
 from acaciaramp.conversations.turns import TurnManager
+from acaciaramp.coordination.codec import unpack_table
 from acaciaramp.coordination.grants import GRANT_LIFETIME_MS, local_share
 from acaciaramp.coordination.messages import (
     CrashReport,
     Done,
     GrantReply,
     GrantRequest,
+    ReturnToken,
 )
 from acaciaramp.errors import CallError
 from acaciaramp.forwarding.connections import ConnectionPool
@@ -37,7 +39,7 @@
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint, View
-    from acaciaramp.ids import ServiceName
+    from acaciaramp.ids import InstanceId, ServiceName
     from acaciaramp.roles.adapter import PlatformAdapter
     from acaciaramp.roles.common import RoleContext
     from acaciaramp.settings.node import NodeSettings
@@ -80,7 +82,8 @@
         Args:
             context: Dependencies that every role shares.
             adapter: Translates the platform's formats.
-            rng: Chooses among the weighted services of a route.
+            rng: Chooses among the weighted services of a route and among equal
+                endpoints.
         """
         cfg = context.cfg
         self._context = context
@@ -90,13 +93,13 @@
         self._quota = Quota(
             self._request_tokens, GRANT_LIFETIME_MS, context.clock
         )
-        self._selector = make_selector(cfg, context.clock)
+        self._selector = make_selector(cfg, context.clock, rng)
         self._connections = ConnectionPool(context.clock, self._max_connections)
         self._follower = context.make_follower(
             self._on_table, self._on_view, lambda: None
         )
         ledger = LedgerClient(
-            context.links, lambda: self._follower.view.storages, context.clock
+            context.links, self._ledger_instances, context.clock
         )
         self._turns = TurnManager(
             ledger, ChainCache(), context.clock, context.tasks
@@ -118,6 +121,7 @@
             ),
             clock=context.clock,
             metrics=context.metrics,
+            return_token=self._return_token,
         )
         self._readiness_port = split_address(cfg.readiness or '')[1]
         self._read_endpoints = adapter.make_reader(
@@ -206,9 +210,7 @@
                 reason=exc,
             )
 
-    async def _request_tokens(
-        self, workspace: str, is_new: bool
-    ) -> tuple[int, int | None]:
+    async def _request_tokens(self, workspace: str) -> tuple[int, int | None]:
         """Request a token of a workspace's shared rate from its owner.
 
         Returns:
@@ -219,12 +221,22 @@
             CallError: The owner did not reply in time.
         """
         reply = await self._follower.request(
-            GrantRequest(WorkspaceId(workspace), is_new),
+            GrantRequest(WorkspaceId(workspace)),
             GrantReply,
             _GRANT_TIMEOUT_MS,
         )
         return reply.granted, reply.wait_ms
 
+    def _return_token(self, workspace: WorkspaceId) -> None:
+        self._context.tasks.start_soon(
+            self._follower.notify, ReturnToken(workspace)
+        )
+
+    def _ledger_instances(self) -> tuple[InstanceId, ...]:
+        """Return the instances of which one leads the ledger."""
+        view = self._follower.view
+        return view.ledger_voters or view.storages
+
     def _max_connections(self, service: ServiceName) -> int | None:
         """Return this instance's share of the connections to an endpoint.
 
@@ -255,7 +267,7 @@
 
     def _on_table(self, body: bytes) -> None:
         try:
-            table = self._adapter.decode_table(body)
+            table = self._adapter.decode_table(unpack_table(body))
         except InvalidTableError as exc:
             logger.error_from(
                 'Could not decode a routing table; keeping the last one.', exc
@@ -294,10 +306,12 @@
             )
 
 
-def make_selector(cfg: NodeSettings, clock: Clock) -> EndpointSelector:
+def make_selector(
+    cfg: NodeSettings, clock: Clock, rng: random.Random
+) -> EndpointSelector:
     """Create the endpoint selector for the location in the settings."""
     return EndpointSelector(
-        cfg.availability_zone, cfg.region, cfg.regions, clock
+        cfg.availability_zone, cfg.region, cfg.regions, clock, rng
     )
 
 
--- a/src/acaciaramp/settings/node.py
+++ b/src/acaciaramp/settings/node.py
@@ -54,7 +54,7 @@
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Time limits that the deployment guarantees.
 
-    Only ``grace_s`` affects the instance; the other values are not used.
+    ``config_apply_ms`` and ``settle_ms`` are not used.
 
     Attributes:
         config_apply_ms: Within which every instance applies a confirmed
--- a/tests/coordination/test_follower.py
+++ b/tests/coordination/test_follower.py
@@ -12,7 +12,7 @@
 from acaciaramp.coordination.codec import encode
 from acaciaramp.coordination.follower import Follower
 from acaciaramp.coordination.messages import Done, ReadState, StateReply
-from acaciaramp.errors import CallError
+from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import InstanceId
 from acaciaramp.metrics.client import Metrics
 from acaciaramp.roles.common import noop
@@ -86,3 +86,49 @@
     anyio.run(scenario)
     assert len(errors) == 1
     assert links.requests <= 25
+
+
+class SilentLinks(ScriptedLinks):
+    """Open links whose replies take longer than every timeout.
+
+    Attributes:
+        timeouts_ms: Timeout of each request.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        """Create the links."""
+        super().__init__(b'')
+        self.timeouts_ms: list[int] = []
+        self._clock = clock
+
+    async def request(self, *args: Any) -> bytes:
+        """Reply with a failure after the timeout."""
+        wait_ms: int = args[-1]
+        self.timeouts_ms.append(wait_ms)
+        await self._clock.sleep_ms(wait_ms)
+        raise CallError(ErrorCode.HOME_UNREACHABLE, 'silent')
+
+
+def test_timeout_of_reports_grows_until_a_large_reply_can_arrive() -> None:
+    clock = ManualClock()
+    links = SilentLinks(clock)
+    follower = Follower(
+        build.node('e-1', RoleName.ENTRY),
+        lambda: [InstanceId('c-1')],
+        cast('Links', links),
+        clock,
+        noop,
+        noop,
+        lambda: None,
+    )
+
+    async def scenario() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            for _ in range(400):
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(100)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+    assert links.timeouts_ms[:5] == [1_200, 2_400, 4_800, 9_600, 9_600]
--- /dev/null
+++ b/tests/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the composition roots of the roles."""
