Send routing tables as differences, and to those alone that need them

Reads of the table by operators crossed the link whole, three a second.

Storage instances ask for none. A read asks the leader for the version alone if the table is held here.

Ruled out: compression with the old version as dictionary, which reaches back 32 KB of 420.

Conclusion: the link carries changes, not tables.

--- a/src/acaciaramp/coordination/follower.py
+++ b/src/acaciaramp/coordination/follower.py
@@ -7,6 +7,7 @@
 
 from acaciaramp.coordination.codec import decode_reply, encode
 from acaciaramp.coordination.messages import (
+    NO_TABLE,
     ControlReply,
     ControlRequest,
     FollowReply,
@@ -14,10 +15,12 @@
     View,
     ViewNumber,
 )
+from acaciaramp.coordination.tables import DeltaError, HeldTable
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import InstanceId
 from acaciaramp.metrics.names import Counter
 from acaciaramp.peering.messages import Channel
+from acaciaramp.routing.checks import InvalidTableError
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
 
@@ -55,6 +58,7 @@
 
     Attributes:
         view: The newest view.
+        table: The newest routing table.
         last_contact_ms: When the leader last replied to a report, on this
             instance's clock; None if it never has.
     """
@@ -65,7 +69,7 @@
         seeds: Callable[[], list[InstanceId]],
         links: Links,
         clock: Clock,
-        on_table: Callable[[bytes], None],
+        on_table: Callable[[bytes], None] | None,
         on_view: Callable[[View], None],
         ledger_status: Callable[[], LedgerReplicaStatus | None],
     ) -> None:
@@ -77,12 +81,14 @@
                 view.
             links: Links to other instances.
             clock: Source of time.
-            on_table: Called with each newer routing table, encoded.
+            on_table: Called with each newer routing table as operators sent
+                it; None if this instance needs no table.
             on_view: Called with each newer view.
             ledger_status: Returns the status of the ledger replica here, to be
                 sent with each report.
         """
         self.view = View()
+        self.table = HeldTable()
         self.last_contact_ms: int | None = None
         self._node = node
         self._seeds = seeds
@@ -91,7 +97,6 @@
         self._on_table = on_table
         self._on_view = on_view
         self._ledger_status = ledger_status
-        self._version = 0
         self._number = ViewNumber()
         self._leader: InstanceId | None = None
         self._timeouts = 0
@@ -102,7 +107,7 @@
         while True:
             req = FollowRequest(
                 node=self._node,
-                version=self._version,
+                version=self._table_version(),
                 number=self._number,
                 ledger=self._ledger_status(),
             )
@@ -173,6 +178,30 @@
             return None
         return self._clock.now_ms() - self.last_contact_ms
 
+    def _table_version(self) -> int:
+        return NO_TABLE if self._on_table is None else self.table.version
+
+    def _update_table(self, reply: FollowReply) -> None:
+        """Replace the table; request a whole one if a difference is unusable."""
+        try:
+            if reply.table is not None:
+                self.table.replace(reply.version, reply.table)
+            elif reply.delta is not None:
+                self.table.update(reply.version, reply.delta)
+            else:
+                return
+            body = self.table.body
+        except (DeltaError, InvalidTableError) as exc:
+            logger.error_from(
+                'An update of the routing table is unusable; requesting the '
+                'whole table.',
+                exc,
+            )
+            self.table = HeldTable()
+            return
+        if self._on_table is not None:
+            self._on_table(body)
+
     async def _send_to(
         self, target: InstanceId, req: ControlRequest, timeout_ms: int
     ) -> ControlReply:
@@ -233,9 +262,8 @@
             logger.info('Found the control leader.', instance=target)
         self._leader = target
         self.last_contact_ms = self._clock.now_ms()
-        if reply.table is not None and reply.version > self._version:
-            self._version = reply.version
-            self._on_table(reply.table)
+        if reply.version > self.table.version:
+            self._update_table(reply)
         if reply.view is not None and reply.number > self._number:
             self._number = reply.number
             self.view = reply.view
--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from acaciaramp.coordination.codec import encode
 from acaciaramp.coordination.locality import order_as_replicas
@@ -40,6 +41,7 @@
     decide_retirement,
     retirement_progress,
 )
+from acaciaramp.coordination.tables import TableHistory
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import Counter, GrantOutcome
 from acaciaramp.settings.node import RoleName
@@ -131,6 +133,7 @@
         self._endpoints: tuple[Endpoint, ...] | None = None
         self._endpoints_read_ms = 0
         self._ledger_voters: tuple[InstanceId, ...] = ()
+        self._tables = TableHistory()
         self._updated = anyio.Event()
         self._view = View()
         self._number = ViewNumber()
@@ -169,6 +172,12 @@
         """Record that rate checkpoints have been applied here."""
         self._rates.on_checkpoints_applied(workspaces)
 
+    def on_state_change(self) -> None:
+        """Record a new table and wake the long polls that wait for one."""
+        state = self._state_machine.state
+        self._tables.record(state.version, state.body)
+        self.notify_followers()
+
     def notify_followers(self) -> None:
         """Wake the long polls that wait for an update."""
         updated = self._updated
@@ -262,13 +271,18 @@
 
     def _make_follow_reply(self, req: FollowRequest) -> FollowReply:
         state = self._state_machine.state
-        is_table_newer = state.version > req.version
-        return FollowReply(
+        reply = FollowReply(
             version=state.version,
-            table=state.body if is_table_newer else None,
             number=self._number,
             view=self._view if self._number > req.number else None,
         )
+        if state.version <= req.version:
+            return reply
+        self._tables.record(state.version, state.body)
+        delta = self._tables.delta_from(req.version)
+        if delta is not None:
+            return msgspec.structs.replace(reply, delta=delta)
+        return msgspec.structs.replace(reply, table=state.body)
 
     def _require_leadership(self) -> None:
         """Check that this instance leads and holds a lease.
--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import sys
 
 import msgspec
 
@@ -119,12 +120,17 @@
     count: int = 0
 
 
+# Version of instances that need no routing table.
+NO_TABLE = sys.maxsize
+
+
 class FollowRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Long poll: reports that an instance is alive and asks for updates.
 
     Attributes:
         node: The reporting instance.
-        version: Version of the routing table that it has; 0 for none.
+        version: Version of the routing table that it has; 0 for none, and
+            ``NO_TABLE`` if it needs none.
         number: Number of the view that it has.
         ledger: Status of its ledger replica; None if it has none.
     """
@@ -140,15 +146,18 @@
 
     Attributes:
         version: Version of the newest routing table; 0 for none.
-        table: That table, compressed; None if it is not newer.
+        table: That table, compressed; None if it is not newer or ``delta`` is
+            set.
         number: Number of the newest view.
         view: That view; None if it is not newer.
+        delta: Difference between the requester's version and the newest one.
     """
 
     version: int
     table: bytes | None = None
     number: ViewNumber = ViewNumber()
     view: View | None = None
+    delta: bytes | None = None
 
 
 class GrantRequest(msgspec.Struct, frozen=True, tag=True):
@@ -285,8 +294,13 @@
     """Command: reads the newest routing table.
 
     It goes through the log, so that a deposed leader cannot answer it.
+
+    Attributes:
+        known: Version that the reader has; the reply leaves it out.
     """
 
+    known: int = 0
+
 
 class QueryRetirement(msgspec.Struct, frozen=True, tag=True):
     """Asks whether the retirement of a storage instance is complete.
@@ -330,7 +344,7 @@
     Attributes:
         version: Version of the table; 0 if there is none.
         body: The table, compressed; set in reply to ``ReadState`` only, and
-            empty if there is none.
+            empty if there is none or the reader has it.
     """
 
     version: int
--- a/src/acaciaramp/coordination/state_machine.py
+++ b/src/acaciaramp/coordination/state_machine.py
@@ -98,8 +98,9 @@
                 state.rates.update(checkpoints)
                 self._on_rates(checkpoints)
                 return StateReply(state.version, b'')
-            case ReadState():
-                return StateReply(state.version, state.body)
+            case ReadState(known=known):
+                body = b'' if known == state.version else state.body
+                return StateReply(state.version, body)
         self._on_change()
         return StateReply(state.version, b'')
 
--- a/src/acaciaramp/platform/operators.py
+++ b/src/acaciaramp/platform/operators.py
@@ -129,13 +129,7 @@
     if call == 'POST /v1/config/replace':
         return await _replace_config(follower, body)
     if call == 'GET /v1/config/read':
-        state = await follower.request(
-            ReadState(), StateReply, _REPLY_TIMEOUT_MS
-        )
-        if not state.version:
-            # No config has been stored yet.
-            return _Response(_UNAVAILABLE)
-        return _Response(_OK, unpack_table(state.body))
+        return await _read_config(follower)
     if path.startswith(_RETIRE_PREFIX):
         name, _, verb = path.removeprefix(_RETIRE_PREFIX).partition('/')
         if (method, verb) == ('POST', 'begin'):
@@ -148,6 +142,25 @@
     raise CallError(ErrorCode.NOT_FOUND, f'there is no call "{call}"')
 
 
+async def _read_config(follower: Follower) -> _Response:
+    """Return the newest config, as the leader confirms its version.
+
+    The config itself is sent only if another version has arrived here.
+    """
+    held = follower.table
+    version = held.version
+    body = held.body
+    state = await follower.request(
+        ReadState(known=version), StateReply, _REPLY_TIMEOUT_MS
+    )
+    if not state.version:
+        # No config has been stored yet.
+        return _Response(_UNAVAILABLE)
+    if state.version != version:
+        body = unpack_table(state.body)
+    return _Response(_OK, body)
+
+
 async def _replace_config(follower: Follower, body: bytes) -> _Response:
     table = decode_table(body)
     state = await follower.request(
--- a/src/acaciaramp/roles/common.py
+++ b/src/acaciaramp/roles/common.py
@@ -95,14 +95,15 @@
 
     def make_follower(
         self,
-        on_table: Callable[[bytes], None],
+        on_table: Callable[[bytes], None] | None,
         on_view: Callable[[View], None],
         ledger_status: Callable[[], LedgerReplicaStatus | None],
     ) -> Follower:
         """Create the follower of the control group.
 
         Args:
-            on_table: Called with each newer routing table, encoded.
+            on_table: Called with each newer routing table as operators sent
+                it; None if the role needs no table.
             on_view: Called with each newer view.
             ledger_status: Returns the status of the ledger replica here; None
                 if there is none.
--- a/src/acaciaramp/roles/control.py
+++ b/src/acaciaramp/roles/control.py
@@ -95,7 +95,7 @@
             metrics=context.metrics,
         )
         state_machine.subscribe(
-            self._coordinator.notify_followers,
+            self._coordinator.on_state_change,
             self._coordinator.on_rates_applied,
         )
         self._follower = context.make_follower(noop, noop, lambda: None)
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -8,7 +8,6 @@
 from acaciaramp.conversations.cache import ChainCache
 from acaciaramp.conversations.client import LedgerClient
 from acaciaramp.conversations.turns import TurnManager
-from acaciaramp.coordination.codec import unpack_table
 from acaciaramp.coordination.grants import GRANT_LIFETIME_MS, local_share
 from acaciaramp.coordination.messages import (
     CrashReport,
@@ -267,7 +266,7 @@
 
     def _on_table(self, body: bytes) -> None:
         try:
-            table = self._adapter.decode_table(unpack_table(body))
+            table = self._adapter.decode_table(body)
         except InvalidTableError as exc:
             logger.error_from(
                 'Could not decode a routing table; keeping the last one.', exc
--- a/src/acaciaramp/roles/storage.py
+++ b/src/acaciaramp/roles/storage.py
@@ -10,7 +10,7 @@
 from acaciaramp.peering.messages import Channel
 from acaciaramp.replication.group import Group
 from acaciaramp.replication.members import Member
-from acaciaramp.roles.common import LOG_TIMING, noop
+from acaciaramp.roles.common import LOG_TIMING
 from acaciaramp.storage.store import DiskStore
 from acaciaramp.util.logs import get_logger
 
@@ -48,7 +48,7 @@
         )
         self._replica = LedgerReplica(self._group, context.metrics)
         self._follower = context.make_follower(
-            noop, self._on_view, self._replica.status
+            None, self._on_view, self._replica.status
         )
 
     async def run(self, stop: anyio.Event) -> None:
--- a/tests/coordination/test_follower.py
+++ b/tests/coordination/test_follower.py
@@ -9,9 +9,17 @@
 import pytest
 
 from acaciaramp.clock import ManualClock
-from acaciaramp.coordination.codec import encode
+from acaciaramp.coordination.codec import decode_request, encode, pack_table
 from acaciaramp.coordination.follower import Follower
-from acaciaramp.coordination.messages import Done, ReadState, StateReply
+from acaciaramp.coordination.messages import (
+    NO_TABLE,
+    Done,
+    FollowReply,
+    FollowRequest,
+    ReadState,
+    StateReply,
+)
+from acaciaramp.coordination.tables import make_delta
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import InstanceId
 from acaciaramp.metrics.client import Metrics
@@ -132,3 +140,84 @@
 
     anyio.run(scenario)
     assert links.timeouts_ms[:5] == [1_200, 2_400, 4_800, 9_600, 9_600]
+
+
+class TableLinks(ScriptedLinks):
+    """Links to a leader that sends one reply after the other.
+
+    Attributes:
+        versions: Version that each report names.
+    """
+
+    def __init__(self, *replies: FollowReply) -> None:
+        """Create the links."""
+        super().__init__(b'')
+        self.versions: list[int] = []
+        self._replies = list(replies)
+
+    async def request(self, *args: Any) -> bytes:
+        """Return the next reply; wait for ever after the last."""
+        req = decode_request(args[1])
+        assert isinstance(req, FollowRequest)
+        self.versions.append(req.version)
+        if not self._replies:
+            await anyio.sleep_forever()
+        return encode(self._replies.pop(0))
+
+
+def follow(
+    links: TableLinks, *, needs_table: bool = True
+) -> tuple[Follower, list[bytes]]:
+    """Let a follower handle all replies; return it and the tables it got."""
+    bodies: list[bytes] = []
+    follower = Follower(
+        build.node('e-1', RoleName.ENTRY),
+        lambda: [InstanceId('c-1')],
+        cast('Links', links),
+        ManualClock(),
+        bodies.append if needs_table else None,
+        noop,
+        lambda: None,
+    )
+
+    async def scenario() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+    return follower, bodies
+
+
+FIRST = b'{"version":1,"routes":[{"name":"a"},{"name":"b"}]}'
+SECOND = b'{"version":2,"routes":[{"name":"a"},{"name":"c"}]}'
+
+
+def test_table_follows_from_a_difference() -> None:
+    links = TableLinks(
+        FollowReply(version=1, table=pack_table(FIRST)),
+        FollowReply(version=2, delta=make_delta(FIRST, SECOND)),
+    )
+    follower, bodies = follow(links)
+    assert bodies == [FIRST, SECOND]
+    assert links.versions == [0, 1, 2]
+    assert follower.table.body == SECOND
+
+
+def test_whole_table_is_requested_after_an_unusable_difference() -> None:
+    links = TableLinks(
+        FollowReply(version=1, table=pack_table(FIRST)),
+        FollowReply(version=2, delta=make_delta(SECOND, FIRST)),
+        FollowReply(version=2, table=pack_table(SECOND)),
+    )
+    _, bodies = follow(links)
+    assert bodies == [FIRST, SECOND]
+    assert links.versions == [0, 1, 0, 2]
+
+
+def test_instance_without_need_of_a_table_gets_none() -> None:
+    links = TableLinks(FollowReply(version=1))
+    _, bodies = follow(links, needs_table=False)
+    assert links.versions == [NO_TABLE, NO_TABLE]
+    assert not bodies
--- a/tests/coordination/test_leader.py
+++ b/tests/coordination/test_leader.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import msgspec
 import pytest
 
 from acaciaramp.clock import SystemClock
+from acaciaramp.coordination.codec import pack_table
 from acaciaramp.coordination.directory import Directory
 from acaciaramp.coordination.leader import Coordinator
 from acaciaramp.coordination.messages import (
@@ -29,6 +30,7 @@
     StoreTable,
 )
 from acaciaramp.coordination.state_machine import ControlStateMachine
+from acaciaramp.coordination.tables import apply_delta
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import InstanceId
 from acaciaramp.metrics.client import Metrics
@@ -97,7 +99,7 @@
             list_period_ms=100,
         )
         state_machine.subscribe(
-            self.coordinator.notify_followers,
+            self.coordinator.on_state_change,
             self.coordinator.on_rates_applied,
         )
 
@@ -152,7 +154,10 @@
 
 
 def _decode_table(body: bytes) -> RoutingTable:
-    return build.routing_table(version=int(body), workspaces=(POLICY,))
+    version = msgspec.json.decode(body, type=int | dict[str, Any])
+    if isinstance(version, dict):
+        version = version['version']
+    return build.routing_table(version=version, workspaces=(POLICY,))
 
 
 def test_leader_without_a_table_publishes_a_view() -> None:
@@ -317,3 +322,30 @@
         assert reply.view.storages == ('b', 'd', 'e', 'a', 'c')
 
     run_with_leader(scenario)
+
+
+def test_changed_table_is_sent_as_a_difference() -> None:
+    def body(version: int) -> bytes:
+        routes = ''.join(f'{{"name":"r-{number}"}}' for number in range(500))
+        return f'{{"version":{version},"routes":[{routes}]}}'.encode()
+
+    async def scenario(control: ControlInstance) -> None:
+        for version in (1, 2):
+            packed = pack_table(body(version))
+            await control.coordinator.handle(StoreTable(version, packed))
+        reply = await control.coordinator.handle(
+            FollowRequest(node=ENTRY, version=1)
+        )
+        assert isinstance(reply, FollowReply)
+        assert reply.table is None
+        assert reply.delta is not None
+        assert apply_delta(body(1), reply.delta) == body(2)
+        unknown = await control.coordinator.handle(
+            FollowRequest(node=ENTRY, version=0)
+        )
+        assert isinstance(unknown, FollowReply)
+        assert unknown.table == pack_table(body(2))
+        known = await control.coordinator.handle(ReadState(known=2))
+        assert known == StateReply(2, b'')
+
+    run_with_leader(scenario)
