Mend the network double that ended test deployments, and three faults found by reading

Cause of the matrix failures that were listed, as far as it is shown: the double that proxies links between test instances removed the directions of a connection by equality. If two connections of the same instances overlap and the newer ends first, the older's entry goes; once the older has dropped bytes, its own end raises ValueError, which ends the task group of the whole deployment, so that nobody can connect any more. That is what was seen: an error of the task group, and a caller that never connects. Links are reconnected while the old connection lingers in just the scenarios listed (cut off, hears nobody).

That the three failures came from it is not shown: they have not come again. The hook now prints the errors that ended a deployment.

Ruled out: load alone; nothing in the scenarios' time limits changed.

--- a/features/environment.py
+++ b/features/environment.py
@@ -5,6 +5,7 @@
 import contextlib
 import logging
 import os
+import traceback
 import zlib
 from typing import Any
 
@@ -44,11 +45,20 @@
     if context.portal_manager is None:
         return
     if context.running_deployment is not None:
-        context.running_deployment.__exit__(None, None, None)
+        _stop_deployment(context)
     context.portal_manager.__exit__(None, None, None)
     context.patches.close()
 
 
+def _stop_deployment(context: Any) -> None:
+    """Stop the deployment; print the errors that had ended it, if any."""
+    try:
+        context.running_deployment.__exit__(None, None, None)
+    except BaseException:
+        traceback.print_exc()
+        raise
+
+
 def _is_in_part(name: str) -> bool:
     index, _, count = os.environ.get(PART_VARIABLE, '0/1').partition('/')
     return zlib.crc32(name.encode()) % int(count) == int(index)
--- a/src/acaciaramp/cmd/document.py
+++ b/src/acaciaramp/cmd/document.py
@@ -140,7 +140,13 @@
         resp = httpcore.request(method, url, headers=headers, content=content)
     except (httpcore.NetworkError, httpcore.TimeoutException) as exc:
         raise OperatorError(f'{url} does not answer: {exc}') from None
-    result = json.loads(resp.content)
+    try:
+        result = json.loads(resp.content)
+    except ValueError:
+        raise OperatorError(
+            f'{url} answered {resp.status} without JSON; is it the address of '
+            'the operator API?'
+        ) from None
     if resp.status >= _FIRST_ERROR_STATUS:
         reasons = result.get('mistakes') or [
             result.get('error') or result.get('message')
--- a/src/acaciaramp/entry/programs.py
+++ b/src/acaciaramp/entry/programs.py
@@ -142,9 +142,10 @@
         is_single=False,
         keep=True,
     )
-    view = await _fetch_view(ctx, workspace, req, steps=True)
     reader = StepReader(ctx, target.workspace, target.program, target.number)
     answer = await calls.wait_for_answer(ctx, req, target, reader)
+    # The step may have begun during the wait.
+    view = await _fetch_view(ctx, workspace, req, steps=True)
     step = next(
         (step for step in view.steps if step.number == target.number), None
     )
--- a/tests/network.py
+++ b/tests/network.py
@@ -18,9 +18,9 @@
 _CHUNK_BYTES = 65_536
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class _Direction:
-    """One direction of one proxied connection.
+    """One direction of one proxied connection, which equals no other.
 
     Attributes:
         sender: Number of the sending instance.
@@ -45,6 +45,11 @@
         self._blocked: set[tuple[int, int]] = set()
         self._directions: list[_Direction] = []
 
+    @property
+    def connections(self) -> int:
+        """Number of proxied connections that are open."""
+        return len(self._directions) // 2
+
     def block(self, sender: int, receiver: int) -> None:
         """Drop all bytes from sender to receiver, on open and new links."""
         self._blocked.add((sender, receiver))
