--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -125,7 +125,9 @@
             attempt=call.inbound.attempt,
             service=call.service,
             left_ms=call.deadline_ms - self._clock.now_ms(),
-            **self._selector.explain(endpoint, call.affinity_key),
+            **self._selector.explain(
+                endpoint, call.affinity_key, call.warm_endpoint
+            ),
         )
         self._selector.record_start(endpoint, call.affinity_key)
         call.endpoint = endpoint.id
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -159,8 +159,11 @@
 
         return min(active or usable, key=rank)
 
-    def explain(self, endpoint: Endpoint, affinity_key: str) -> dict[str, Any]:
+    def explain(
+        self, endpoint: Endpoint, affinity_key: str, warm_endpoint: str = ''
+    ) -> dict[str, Any]:
         """Return the inputs of a selection as log fields."""
+        warm_id = warm_endpoint or self._endpoint_by_affinity.get(affinity_key)
         state = self._states[endpoint.id]
         return {
             'endpoint': endpoint.id,
@@ -168,8 +171,7 @@
             'in_flight': state.in_flight,
             'foreign': state.foreign,
             'load_age_ms': self._clock.now_ms() - state.reported_ms,
-            'is_warm': self._endpoint_by_affinity.get(affinity_key)
-            == endpoint.id,
+            'is_warm': warm_id == endpoint.id,
         }
 
     def record_start(self, endpoint: Endpoint, affinity_key: str) -> None:
