Wait for the next owner of the rates instead of refusing new programs

Load: the control leader is lost; with 170 entries none has a share of its own, so that every request needs the owner.

Cause: a call that starts a program was refused after 70 ms whether the owner had no token or did not reply, with 500 ms as the time to return, before another owner is elected, and a caller returns once.

Change: such a call waits for the next owner for 0.4 of its time; if there is none, it is told to return after 900 ms. Without a token it is refused as early as before. Entries whose view is out of date ask all storage instances for the ledger's leader.

Ruled out: shares of its own for each entry: 0.1 of 30 tokens over 170 entries is none.

Test: test_request_waits_for_the_next_owner_but_not_long_for_a_token (the code before has no such wait and fails).

--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -12,6 +12,7 @@
 from acaciaramp.forwarding.call import Call
 from acaciaramp.forwarding.caller import Caller
 from acaciaramp.forwarding.relay import Relay
+from acaciaramp.limits.quota import Patience
 from acaciaramp.metrics.names import BadInput, Counter, Timer
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
@@ -47,6 +48,9 @@
 # Fraction of its remaining time that a request of a running program may wait for
 # such a token: a refusal would end the program.
 _RUNNING_PROGRAM_WAIT_FRACTION = 0.6
+# Fraction of its remaining time that any request may wait for the next owner of
+# the rates.
+_OWNER_WAIT_FRACTION = 0.4
 
 
 class Gateway:
@@ -327,7 +331,7 @@
             return
         started_ms = self._clock.now_ms()
         try:
-            await self._quota.admit(call.workspace, self._token_wait_ms(call))
+            await self._quota.admit(call.workspace, self._patience(call))
         except BaseException:
             self._turns.settle_failed(call, Verdict.NOT_RUN)
             raise
@@ -335,16 +339,20 @@
             Timer.ADMISSION, self._clock.now_ms() - started_ms
         )
 
-    def _token_wait_ms(self, call: Call) -> int:
+    def _patience(self, call: Call) -> Patience:
         """Return how long a call may wait for a token of the rate limit.
 
-        A call that starts a program is refused early, so that its caller can
-        retry; a call of a running program may use most of its remaining time.
+        A call that starts a program is refused early if there is no token, so
+        that its caller can retry; one of a running program may use most of its
+        remaining time. If the owner of the rates is lost, either waits for the
+        next one.
         """
-        if call.starts_program:
-            return _NEW_PROGRAM_WAIT_MS
         left_ms = call.deadline_ms - self._clock.now_ms()
-        return int(_RUNNING_PROGRAM_WAIT_FRACTION * left_ms)
+        owner_ms = int(_OWNER_WAIT_FRACTION * left_ms)
+        if call.starts_program:
+            return Patience(_NEW_PROGRAM_WAIT_MS, owner_ms)
+        token_ms = int(_RUNNING_PROGRAM_WAIT_FRACTION * left_ms)
+        return Patience(token_ms, max(token_ms, owner_ms))
 
     def _check_quarantine(self, call: Call) -> None:
         if self.quarantined and call.digest() in self.quarantined:
--- a/src/acaciaramp/limits/quota.py
+++ b/src/acaciaramp/limits/quota.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.limits.bucket import TokenBucket
@@ -13,6 +13,10 @@
     from acaciaramp.routing.model import WorkspacePolicy
 
 _DEFAULT_RETRY_MS = 500
+# Pause before the owner is asked again after it did not reply.
+_OWNER_RETRY_MS = 50
+# The instances elect another owner within this time.
+_OWNER_RETRY_AFTER_MS = 900
 
 
 # Requests a token for a workspace. Returns the number of tokens granted, 1 or 0, and the time
@@ -20,6 +24,26 @@
 RequestTokens = Callable[[str], Awaitable[tuple[int, int | None]]]
 
 
+class Patience(NamedTuple):
+    """How long a request may wait for a token, milliseconds.
+
+    Attributes:
+        token_ms: While the owner of the rate has no token.
+        owner_ms: While the owner does not reply, as when another one is being
+            elected.
+    """
+
+    token_ms: int
+    owner_ms: int
+
+
+class _Retry(NamedTuple):
+    """When to request a token again, and whether the owner has replied."""
+
+    after_ms: int
+    has_owner: bool
+
+
 class _WorkspaceQuota:
     """Tokens of one workspace that one entry instance may use."""
 
@@ -129,12 +153,12 @@
         share = self._shares.get(workspace)
         return share is not None and share.pop_granted(self._clock.now_ms())
 
-    async def admit(self, workspace: str, wait_ms: int) -> None:
+    async def admit(self, workspace: str, patience: Patience) -> None:
         """Wait for a token and consume it for one request.
 
         Args:
             workspace: Workspace of the request.
-            wait_ms: Longest wait for a token, milliseconds.
+            patience: Longest waits for a token.
 
         Raises:
             CallError: No token is available within the longest wait.
@@ -142,34 +166,29 @@
         share = self._shares.get(workspace)
         if share is None or share.try_consume(self._clock.now_ms()):
             return
-        deadline_ms = self._clock.now_ms() + wait_ms
+        started_ms = self._clock.now_ms()
         while True:
-            retry_ms = await self._request_grant(workspace, share)
+            retry = await self._request_grant(workspace, share)
             now_ms = self._clock.now_ms()
             if share.try_consume(now_ms):
                 return
-            if now_ms + retry_ms >= deadline_ms:
+            longest_ms = patience.token_ms
+            if not retry.has_owner:
+                longest_ms = patience.owner_ms
+            if now_ms + retry.after_ms >= started_ms + longest_ms:
                 break
-            await self._clock.sleep_ms(max(1, retry_ms))
-        raise CallError(
-            ErrorCode.RATE_LIMITED,
-            f'workspace "{workspace}" has used its rate of '
-            f'{share.rate_per_s:g}/s with a burst of {share.burst:g}',
-            retry_after_ms=retry_ms,
-        )
+            await self._clock.sleep_ms(max(1, retry.after_ms))
+        raise _refusal(workspace, share, retry)
 
     async def _request_grant(
         self, workspace: str, share: _WorkspaceQuota
-    ) -> int:
-        """Request a token from the owner; return the time to the next request.
-
-        Without a reply, that is the wait for a local token or a default.
-        """
+    ) -> _Retry:
+        """Request a token from the owner; return when to request again."""
         requested_ms = self._clock.now_ms()
         try:
             granted, wait_ms = await self._request_tokens(workspace)
         except CallError:
-            return share.bucket.wait_ms() or _DEFAULT_RETRY_MS
+            return _Retry(_OWNER_RETRY_MS, has_owner=False)
         if granted:
             if self._clock.now_ms() >= share.granted_until_ms:
                 share.granted = 0
@@ -177,4 +196,21 @@
             # Counted from the request, so that a token does not outlive the
             # lifetime that the owner assumes if the reply is late.
             share.granted_until_ms = requested_ms + self._grant_ms
-        return wait_ms or _DEFAULT_RETRY_MS
+        return _Retry(wait_ms or _DEFAULT_RETRY_MS, has_owner=True)
+
+
+def _refusal(
+    workspace: str, share: _WorkspaceQuota, retry: _Retry
+) -> CallError:
+    if retry.has_owner:
+        return CallError(
+            ErrorCode.RATE_LIMITED,
+            f'workspace "{workspace}" has used its rate of '
+            f'{share.rate_per_s:g}/s with a burst of {share.burst:g}',
+            retry_after_ms=retry.after_ms,
+        )
+    return CallError(
+        ErrorCode.RATE_LIMITED,
+        f'the owner of the rate of workspace "{workspace}" does not answer',
+        retry_after_ms=_OWNER_RETRY_AFTER_MS,
+    )
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -194,9 +194,8 @@
         while True:
             await context.clock.sleep_ms(_TICK_MS)
             await self._connections.close_expired()
-            silence_ms = self._follower.silence_ms()
-            is_stale = silence_ms is None or silence_ms > _VIEW_MAX_AGE_MS
-            if is_stale or self._follower.view.endpoints is None:
+            has_endpoints = self._follower.view.endpoints is not None
+            if self._is_view_stale() or not has_endpoints:
                 await self._poll_endpoints()
 
     async def _poll_endpoints(self) -> None:
@@ -232,9 +231,18 @@
         )
 
     def _ledger_instances(self) -> tuple[InstanceId, ...]:
-        """Return the instances of which one leads the ledger."""
+        """Return the instances of which one leads the ledger.
+
+        If the view may be out of date, these are all storage instances.
+        """
         view = self._follower.view
-        return view.ledger_voters or view.storages
+        if view.ledger_voters and not self._is_view_stale():
+            return view.ledger_voters
+        return view.storages
+
+    def _is_view_stale(self) -> bool:
+        silence_ms = self._follower.silence_ms()
+        return silence_ms is None or silence_ms > _VIEW_MAX_AGE_MS
 
     def _max_connections(self, service: ServiceName) -> int | None:
         """Return this instance's share of the connections to an endpoint.
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -28,7 +28,7 @@
 from acaciaramp.forwarding.selector import EndpointSelector
 from acaciaramp.forwarding.turns import TurnLifecycle
 from acaciaramp.ids import AvailabilityZone
-from acaciaramp.limits.quota import Quota
+from acaciaramp.limits.quota import Patience, Quota
 from acaciaramp.metrics.client import Metrics
 from acaciaramp.platform.headers import PlatformCodec
 from acaciaramp.routing.model import Route, RouteKind, WorkspacePolicy
@@ -507,8 +507,8 @@
     waits: list[int] = []
 
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
-        async def admit(workspace: str, wait_ms: int) -> None:
-            waits.append(wait_ms)
+        async def admit(workspace: str, patience: Patience) -> None:
+            waits.append(patience.token_ms)
 
         harness.quota.admit = admit  # type: ignore[method-assign]
         await harness.request('a1', *headers)
--- a/tests/limits/test_quota.py
+++ b/tests/limits/test_quota.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import anyio
+import pytest
 
 from acaciaramp.clock import ManualClock
 from acaciaramp.errors import CallError, ErrorCode
-from acaciaramp.limits.quota import Quota
+from acaciaramp.limits.quota import Patience, Quota
 from acaciaramp.routing.model import WorkspacePolicy
 from tests import builders as build
 
@@ -41,7 +42,7 @@
         count = 0
         for _ in range(tries):
             try:
-                await quota.admit(build.WORKSPACE, 50)
+                await quota.admit(build.WORKSPACE, Patience(50, 50))
             except CallError as exc:
                 assert exc.refusal.code is ErrorCode.RATE_LIMITED
                 assert exc.refusal.retry_after_ms
@@ -109,7 +110,7 @@
 
 
 async def _admit_with_wait(quota: Quota) -> None:
-    await quota.admit(build.WORKSPACE, 100)
+    await quota.admit(build.WORKSPACE, Patience(100, 100))
 
 
 def test_prefetched_token_is_used_and_not_requested_again() -> None:
@@ -118,7 +119,7 @@
 
     async def scenario() -> None:
         await quota.prefetch(build.WORKSPACE)
-        await quota.admit(build.WORKSPACE, 50)
+        await quota.admit(build.WORKSPACE, Patience(50, 50))
 
     anyio.run(scenario)
     assert owner.requests == [build.WORKSPACE]
@@ -140,3 +141,48 @@
     clock.advance(10_000)
     anyio.run(quota.prefetch, build.WORKSPACE)
     assert not owner.requests
+
+
+def test_request_waits_for_the_next_owner_but_not_long_for_a_token() -> None:
+    clock = ManualClock()
+    replies: list[tuple[int, int | None] | None] = [
+        None,
+        None,
+        (1, None),
+        (0, 400),
+    ]
+
+    async def request_tokens(_: str) -> tuple[int, int | None]:
+        reply = replies.pop(0)
+        if reply is None:
+            raise CallError(ErrorCode.HOME_UNREACHABLE, 'no leader answers')
+        return reply
+
+    async def scenario() -> None:
+        quota = Quota(request_tokens, GRANT_MS, clock)
+        quota.configure((RATED,), lambda _: 0)
+        patience = Patience(token_ms=70, owner_ms=1_000)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(quota.admit, build.WORKSPACE, patience)
+            for _ in range(2):
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(50)
+        with pytest.raises(CallError) as caught:
+            await quota.admit(build.WORKSPACE, patience)
+        assert caught.value.refusal.retry_after_ms == 400
+
+    anyio.run(scenario)
+
+
+def test_refusal_without_an_owner_names_the_time_of_an_election() -> None:
+    async def unreachable(_: str) -> tuple[int, int | None]:
+        raise CallError(ErrorCode.HOME_UNREACHABLE, 'no leader answers')
+
+    async def scenario() -> None:
+        quota = Quota(unreachable, GRANT_MS, ManualClock())
+        quota.configure((RATED,), lambda _: 0)
+        with pytest.raises(CallError, match='does not answer') as caught:
+            await quota.admit(build.WORKSPACE, Patience(70, 40))
+        assert caught.value.refusal.retry_after_ms == 900
+
+    anyio.run(scenario)
--- a/tests/peering/test_network.py
+++ b/tests/peering/test_network.py
@@ -8,7 +8,6 @@
 from tests import builders as build
 from tests.network import Network
 
-
 LISTEN = Address(build.loopback_host(), 7_000)
 TARGET = Address(build.loopback_host(), 7_001)
 
