Close connections of peers that do not speak the protocol

Cause: a connection whose frames cannot be decoded was read for as long as it lasted, a log line each; a length of up to 64 MiB was waited for, half of an entry's memory.

Change: 16 invalid frames are ignored, after that the connection is closed, on both sides; a frame may have 24 MiB, which is more than the largest table or chain of turns.

Ruled out: closing at the first invalid frame: a peer of another version would be reconnected to without end.

--- a/src/acaciaramp/peering/framing.py
+++ b/src/acaciaramp/peering/framing.py
@@ -13,7 +13,9 @@
 if TYPE_CHECKING:
     from anyio.abc import ByteStream
 
-MAX_FRAME_BYTES = 67_108_864
+MAX_FRAME_BYTES = 25_165_824
+# A peer that sends more of them than this does not speak the protocol.
+MAX_INVALID_FRAMES = 16
 _LENGTH_PREFIX = struct.Struct('>I')
 
 CONNECTION_ERRORS = (
@@ -30,6 +32,10 @@
     """The peer announced a frame of more than ``MAX_FRAME_BYTES``."""
 
 
+class InvalidFramesError(AcaciarampError):
+    """The peer sent more than ``MAX_INVALID_FRAMES`` on one connection."""
+
+
 class FrameStream:
     """Sends and receives frames, each prefixed with its length.
 
@@ -45,6 +51,19 @@
         self._stream = stream
         self._buffered = BufferedByteReceiveStream(stream)
         self._lock = anyio.Lock(fast_acquire=True)
+        self._invalid_frames = 0
+
+    def record_invalid(self) -> None:
+        """Record that the last frame cannot be decoded.
+
+        Raises:
+            InvalidFramesError: There were too many of them.
+        """
+        self._invalid_frames += 1
+        if self._invalid_frames > MAX_INVALID_FRAMES:
+            raise InvalidFramesError(
+                f'{self._invalid_frames} frames cannot be decoded'
+            )
 
     async def send(self, frame: bytes) -> None:
         """Send a frame; concurrent calls are serialized."""
--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -13,6 +13,7 @@
     CONNECTION_ERRORS,
     FrameStream,
     FrameTooLargeError,
+    InvalidFramesError,
 )
 from acaciaramp.peering.messages import (
     PROTOCOL_VERSION,
@@ -63,7 +64,11 @@
     """The connection was lost before the reply arrived."""
 
 
-_LINK_ERRORS = (*CONNECTION_ERRORS, FrameTooLargeError)
+_LINK_ERRORS = (
+    *CONNECTION_ERRORS,
+    FrameTooLargeError,
+    InvalidFramesError,
+)
 _NO_REPLY_ERRORS = (*_LINK_ERRORS, LinkLostError)
 
 
@@ -225,9 +230,9 @@
         while True:
             with self._clock.timeout(self._timing.silence_ms):
                 wire = await frames.receive()
-            self._handle_frame(wire)
+            self._handle_frame(wire, frames)
 
-    def _handle_frame(self, wire: bytes) -> None:
+    def _handle_frame(self, wire: bytes, frames: FrameStream) -> None:
         try:
             frame = decode(wire)
         except FrameError as exc:
@@ -235,6 +240,7 @@
             logger.warning(
                 'A peer sent an invalid frame; it is ignored.', reason=exc
             )
+            frames.record_invalid()
             return
         if isinstance(frame, ReplyFrame) and frame.number in self._pending:
             self._pending[frame.number].resolve(frame)
--- a/src/acaciaramp/peering/server.py
+++ b/src/acaciaramp/peering/server.py
@@ -14,6 +14,7 @@
     CONNECTION_ERRORS,
     FrameStream,
     FrameTooLargeError,
+    InvalidFramesError,
 )
 from acaciaramp.peering.messages import (
     PROTOCOL_VERSION,
@@ -132,10 +133,10 @@
             _handle_frame(wire, frames, handlers, metrics, tasks)
     except CONNECTION_ERRORS:
         logger.info('A peer connection was lost or idle; it is closed.')
-    except FrameTooLargeError as exc:
+    except (FrameTooLargeError, InvalidFramesError) as exc:
         metrics.count(Counter.LINK_REJECTED)
         logger.warning(
-            'A peer sent an oversized frame; the connection is closed.',
+            'A peer does not speak the protocol; the connection is closed.',
             reason=exc,
         )
     finally:
@@ -156,6 +157,7 @@
         logger.warning(
             'A peer sent an invalid frame; it is ignored.', reason=exc
         )
+        frames.record_invalid()
         return
     if isinstance(frame, RequestFrame):
         tasks.start_soon(_handle_request, frames, frame, handlers)
