Read the request limit that endpoints state, and log it

No log line named a limit, so that the hypotheses could not be told apart.

The codec decodes the header, EndpointLimits keeps it by endpoint, a warning says when it changes, and the line of each selection has it as limit_per_s. Nothing acts on it yet.

Nothing had read the header.

--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -19,6 +19,7 @@
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.connections import Connection, ConnectionPool
+    from acaciaramp.forwarding.endpoint_limits import EndpointLimits
     from acaciaramp.forwarding.messages import Codec, ResponseHead
     from acaciaramp.forwarding.relay import Relay
     from acaciaramp.forwarding.selector import EndpointSelector
@@ -42,6 +43,7 @@
         self,
         codec: Codec,
         selector: EndpointSelector,
+        limits: EndpointLimits,
         connections: ConnectionPool,
         clock: Clock,
         metrics: Metrics,
@@ -52,6 +54,7 @@
         Args:
             codec: Reads and writes the headers of the platform.
             selector: Selects endpoints.
+            limits: Request limits that endpoints state.
             connections: Pool of connections to endpoints.
             clock: Source of time.
             metrics: Counts retries and invalid responses.
@@ -60,6 +63,7 @@
         """
         self._codec = codec
         self._selector = selector
+        self._limits = limits
         self._connections = connections
         self._clock = clock
         self._metrics = metrics
@@ -125,6 +129,7 @@
             attempt=call.inbound.attempt,
             service=call.service,
             left_ms=call.deadline_ms - self._clock.now_ms(),
+            limit_per_s=self._limits.per_s(endpoint.id),
             **self._selector.explain(
                 endpoint, call.affinity_key, call.warm_endpoint
             ),
@@ -197,6 +202,7 @@
                 another one, or sent a status that tells callers that a
                 request was not executed without confirming that.
         """
+        self._record_limit(call, endpoint, head)
         if head.load is not None:
             self._selector.record_load(endpoint, head.load)
         if head.is_not_run:
@@ -219,6 +225,14 @@
                 f'status {head.status} without the word that it was not run',
             )
 
+    def _record_limit(
+        self, call: Call, endpoint: Endpoint, head: ResponseHead
+    ) -> None:
+        """Record the limit in a response; a refusal without one ends none."""
+        is_silent = head.is_not_run and head.limit_per_s is None
+        if head.attempt == call.inbound.attempt and not is_silent:
+            self._limits.record(endpoint, head.limit_per_s)
+
     def _record_failure(
         self, call: Call, endpoint: Endpoint, exc: EndpointError
     ) -> None:
--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -97,6 +97,8 @@
         idle_ms: Idle timeout of the endpoint's connections, milliseconds, if
             reported.
         length: Content length, bytes; None if unknown.
+        limit_per_s: Requests per second that the endpoint accepts from all
+            instances together; None if it states no limit.
     """
 
     status: int
@@ -106,6 +108,7 @@
     load: EndpointLoad | None = None
     idle_ms: int | None = None
     length: int | None = None
+    limit_per_s: float | None = None
 
 
 class Codec(Protocol):
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -16,7 +16,7 @@
 )
 from acaciaramp.ids import ProgramId
 from acaciaramp.platform.statuses import http_status
-from acaciaramp.util.numbers import parse_count
+from acaciaramp.util.numbers import parse_count, parse_decimal
 
 if TYPE_CHECKING:
     from acaciaramp.coordination.messages import Endpoint
@@ -147,6 +147,7 @@
             load=_endpoint_load(_text(by_name, b'x-instance-load')),
             idle_ms=idle_ms,
             length=_int_or_none(by_name, _CONTENT_LENGTH),
+            limit_per_s=_request_limit(status, by_name),
         )
 
     def write_refusal(self, refusal: Refusal) -> tuple[int, RawHeaders, bytes]:
@@ -237,6 +238,16 @@
     return EndpointLoad(running, waiting, slots)
 
 
+def _request_limit(status: int, by_name: dict[bytes, bytes]) -> float | None:
+    """Return the requests per second that the endpoint accepts, if stated.
+
+    Another endpoint may have sent the response to a misdirected request.
+    """
+    if status == _MISDIRECTED_STATUS:
+        return None
+    return parse_decimal(_text(by_name, b'server-limit'))
+
+
 def _keep_alive_ms(text: str) -> int | None:
     """Return the ``timeout`` of a ``Keep-Alive`` header, milliseconds."""
     for item in text.split(','):
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -18,6 +18,7 @@
 )
 from acaciaramp.errors import CallError
 from acaciaramp.forwarding.connections import ConnectionPool
+from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
 from acaciaramp.forwarding.protocol import TrafficLimitProtocol
@@ -93,6 +94,7 @@
             self._request_tokens, GRANT_LIFETIME_MS, context.clock
         )
         self._selector = make_selector(cfg, context.clock, rng)
+        self._limits = EndpointLimits(context.clock)
         self._connections = ConnectionPool(context.clock, self._max_connections)
         self._follower = context.make_follower(
             self._on_table, self._on_view, lambda: None
@@ -113,6 +115,7 @@
             forwarder=Forwarder(
                 adapter.codec,
                 self._selector,
+                self._limits,
                 self._connections,
                 context.clock,
                 context.metrics,
@@ -304,6 +307,7 @@
 
     def _replace_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         self._selector.replace_endpoints(endpoints)
+        self._limits.retain({endpoint.id for endpoint in endpoints})
 
     def _configure_quota(self) -> None:
         if self._router.table is not None and self._entries:
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -23,6 +23,7 @@
 from acaciaramp.coordination.codec import encode
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.forwarding.connections import ConnectionPool
+from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
 from acaciaramp.forwarding.selector import EndpointSelector
@@ -102,6 +103,7 @@
         router: Router with one route.
         selector: Selector of the endpoints.
         quota: Rate limiter; without limits unless a test configures it.
+        limits: Request limits that endpoints state.
         crashes: Digests of requests that were reported as crashes.
         metrics: Metrics of the gateway.
         returned: Workspaces whose tokens were returned.
@@ -121,6 +123,7 @@
             AvailabilityZone('north'), 'east', {}, clock, random.Random(1)
         )
         self.quota = Quota(_grant_no_tokens, 500, clock)
+        self.limits = EndpointLimits(clock)
         self.gateway = Gateway(
             codec=codec,
             router=self.router,
@@ -139,6 +142,7 @@
             forwarder=Forwarder(
                 codec,
                 self.selector,
+                self.limits,
                 ConnectionPool(clock, lambda _: None),
                 clock,
                 self.metrics,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -164,6 +164,30 @@
     assert CODEC.read_response(200, headers).load is None
 
 
+@pytest.mark.parametrize(
+    ('status', 'text', 'limit_per_s'),
+    [
+        (200, '3.8', 3.8),
+        (503, '12', 12),
+        (200, '0', 0),
+        (421, '3.8', None),
+        (200, '', None),
+        (200, '-1', None),
+        (200, '1e9', None),
+        (200, 'nan', None),
+        (200, '1.', None),
+        (200, '9' * 400, None),
+    ],
+)
+def test_a_request_limit_is_decoded(
+    status: int, text: str, limit_per_s: float | None
+) -> None:
+    headers = [(b'Server-Limit', text.encode())]
+    head = CODEC.read_response(status, headers)
+    assert head.limit_per_s == limit_per_s
+    assert head.headers == [(b'server-limit', text.encode())]
+
+
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
 
