Keep the request limit of an endpoint over all instances

Ruled out: that instances keep the limit, each for itself (the logs name the limit beside selections that ignore it), that restarts forget it (the rule breaks four seconds before the restart). A share for each instance was not built, since it is useless with many instances.

A request to a limited endpoint needs a slot now. The control leader spaces them evenly over all instances and reserves them a second ahead at most; a request without one goes to an endpoint without a limit, or waits, or is refused at once with the time of the next slot.

--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -29,6 +29,8 @@
     RetireOrder,
     ReturnToken,
     SeedLedger,
+    SlotReply,
+    SlotRequest,
     StateReply,
     StoreRates,
     StoreTable,
@@ -41,6 +43,7 @@
     decide_retirement,
     retirement_progress,
 )
+from acaciaramp.coordination.slots import SlotOwner
 from acaciaramp.coordination.tables import TableHistory
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import Counter, GrantOutcome
@@ -128,6 +131,7 @@
             self._propose,
             rate_window_ms,
         )
+        self._slots = SlotOwner(clock)
         self._list_period_ms = list_period_ms
         self._quarantine = Quarantine(clock)
         self._endpoints: tuple[Endpoint, ...] | None = None
@@ -187,7 +191,7 @@
 
     async def _handle_as_leader(self, req: ControlRequest) -> ControlReply:
         match req:
-            case GrantRequest():
+            case GrantRequest() | SlotRequest():
                 return self._grant(req)
             case ReturnToken():
                 self._rates.take_back(req)
@@ -211,10 +215,18 @@
             case _:
                 raise CallError(ErrorCode.BAD_REQUEST, 'no leader answers it')
 
-    def _grant(self, req: GrantRequest) -> GrantReply:
-        reply = self._rates.grant(req)
-        outcome = GrantOutcome.GRANTED if reply.granted else GrantOutcome.NONE
-        self._metrics.count(Counter.RATE_REQUESTED, outcome)
+    def _grant(self, req: GrantRequest | SlotRequest) -> ControlReply:
+        """Grant or refuse a token or a slot."""
+        reply: GrantReply | SlotReply
+        if isinstance(req, GrantRequest):
+            reply = self._rates.grant(req)
+            counter, is_granted = Counter.RATE_REQUESTED, reply.granted > 0
+        else:
+            reply = self._slots.reserve(req)
+            counter = Counter.SLOT_REQUESTED
+            is_granted = reply.endpoint is not None
+        outcome = GrantOutcome.GRANTED if is_granted else GrantOutcome.NONE
+        self._metrics.count(counter, outcome)
         return reply
 
     async def _handle_follow(self, req: FollowRequest) -> FollowReply:
@@ -321,6 +333,7 @@
             self._leader_since_ms = self._clock.now_ms()
             self._directory.clear()
             self._rates.start()
+            self._slots.start()
             self._number = ViewNumber(self._group.replica.term, 0)
         elif not is_leader:
             self._leader_since_ms = None
--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -195,6 +195,48 @@
     workspace: WorkspaceId
 
 
+class StatedLimit(msgspec.Struct, frozen=True):
+    """Request limit of an endpoint, as an instance heard it.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        per_s: Requests per second that it accepts from all instances together.
+        age_ms: Milliseconds since the endpoint stated it.
+    """
+
+    endpoint: EndpointId
+    per_s: float
+    age_ms: int
+
+
+class SlotRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks for a slot for one request to any of some limited endpoints.
+
+    A request that is sent twice may reserve two slots.
+
+    Attributes:
+        limits: Limits of the endpoints, preferred ones first.
+        longest_wait_ms: Longest time until the slot, milliseconds.
+    """
+
+    limits: tuple[StatedLimit, ...]
+    longest_wait_ms: int
+
+
+class SlotReply(msgspec.Struct, frozen=True, tag=True):
+    """Reply to ``SlotRequest``.
+
+    Attributes:
+        endpoint: Endpoint to which the request may be sent; None if no slot is
+            free in time.
+        wait_ms: Milliseconds until the slot, or until the next one that is
+            free if none was reserved.
+    """
+
+    endpoint: EndpointId | None
+    wait_ms: int
+
+
 class CrashReport(msgspec.Struct, frozen=True, tag=True):
     """Reports that an endpoint crashed while it ran a request.
 
@@ -366,6 +408,7 @@
     FollowRequest
     | GrantRequest
     | ReturnToken
+    | SlotRequest
     | CrashReport
     | ReplicaMessage
     | StoreTable
@@ -376,6 +419,7 @@
 ControlReply = (
     FollowReply
     | GrantReply
+    | SlotReply
     | Done
     | ReplicaMessageReply
     | OrderReply
--- a/src/acaciaramp/errors.py
+++ b/src/acaciaramp/errors.py
@@ -41,6 +41,7 @@
     QUEUE_TIMEOUT = 'queue_timeout'
     NO_ENDPOINT = 'no_endpoint'
     ENDPOINT_FAILED = 'endpoint_failed'
+    ENDPOINT_LIMITED = 'endpoint_limited'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     STREAM_RESTARTED = 'stream_restarted'
     NOT_LEADER = 'not_leader'
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import anyio
@@ -13,7 +14,7 @@
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
@@ -32,6 +33,9 @@
 _RETRY_WINDOW_FRACTION = 0.5
 _RETRY_PAUSE_MS = 40
 _RETRY_AFTER_MS = 300
+# Fraction of the latency objective that a request that starts a program waits for
+# a slot at a limited endpoint.
+_NEW_PROGRAM_WAIT_FRACTION = 0.25
 # Statuses that mean to a caller that its request was not executed.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -106,21 +110,88 @@
             CallError: No endpoint is available within the retry window.
         """
         while True:
-            endpoint = self._selector.choose(
-                call.service, call.affinity_key, excluded, call.warm_endpoint
-            )
+            endpoint = await self._choose_endpoint(call, excluded)
             if endpoint is not None:
                 return endpoint
-            now_ms = self._clock.now_ms()
-            started_ms = call.inbound.started_ms
-            window_end_ms = started_ms + _RETRY_WINDOW_FRACTION * (
-                call.deadline_ms - started_ms
-            )
-            if now_ms >= window_end_ms:
+            if not self._retry_window_ms(call):
                 raise _no_endpoint_error(call)
             await self._clock.sleep_ms(_RETRY_PAUSE_MS)
             excluded.clear()
 
+    async def _choose_endpoint(
+        self, call: Call, excluded: Collection[str]
+    ) -> Endpoint | None:
+        """Return the best endpoint that takes the request, None without one.
+
+        An endpoint that limits its requests is chosen if it has a free slot. The
+        request waits for one only if every endpoint limits its requests.
+
+        Raises:
+            CallError: All endpoints limit their requests, and none has a slot
+                in time.
+        """
+        ranked = self._selector.rank(
+            call.service, call.affinity_key, excluded, call.warm_endpoint
+        )
+        limited = list(itertools.takewhile(self._limits.is_limited, ranked))
+        others = ranked[len(limited) :]
+        endpoint: Endpoint | None = None
+        if limited:
+            endpoint = await self._claim_slot(
+                call, limited, is_last_resort=not others and not excluded
+            )
+        if endpoint is None and others:
+            return others[0]
+        return endpoint
+
+    async def _claim_slot(
+        self, call: Call, limited: list[Endpoint], *, is_last_resort: bool
+    ) -> Endpoint | None:
+        """Return a limited endpoint when its slot has come, None without a slot.
+
+        Args:
+            call: The request.
+            limited: Limited endpoints, preferred ones first.
+            is_last_resort: Whether the request has no other choice, so that it
+                waits for a slot.
+
+        Raises:
+            CallError: It has no other choice, and none has a slot in time.
+        """
+        wait_ms = self._longest_slot_wait_ms(call) if is_last_resort else 0
+        try:
+            slot = await self._limits.reserve(limited, wait_ms)
+        except CallError as exc:
+            logger.warning(
+                'The owner of the slots of limited endpoints does not reply.',
+                attempt=call.inbound.attempt,
+                reason=exc,
+            )
+            return None
+        if slot.endpoint is None:
+            if is_last_resort:
+                raise _no_slot_error(call, slot.wait_ms)
+            return None
+        await self._clock.sleep_ms(slot.wait_ms)
+        endpoint = next(item for item in limited if item.id == slot.endpoint)
+        return endpoint if self._selector.is_listed(endpoint) else None
+
+    def _longest_slot_wait_ms(self, call: Call) -> int:
+        """Return how long a request may wait for a slot, milliseconds.
+
+        A request that starts a program is refused early, so that its caller can
+        retry, and running programs get the slots.
+        """
+        if call.starts_program:
+            return int(_NEW_PROGRAM_WAIT_FRACTION * call.route.objective_ms)
+        return self._retry_window_ms(call)
+
+    def _retry_window_ms(self, call: Call) -> int:
+        """Return the rest of the time for selecting endpoints, milliseconds."""
+        started_ms = call.inbound.started_ms
+        window_ms = _RETRY_WINDOW_FRACTION * (call.deadline_ms - started_ms)
+        return max(0, int(started_ms + window_ms - self._clock.now_ms()))
+
     async def _try_endpoint(
         self, call: Call, endpoint: Endpoint, relay: Relay
     ) -> None:
@@ -281,3 +352,14 @@
         verdict,
         retry_after_ms=_RETRY_AFTER_MS,
     )
+
+
+def _no_slot_error(call: Call, wait_ms: int) -> CallError:
+    verdict = Verdict.MAY_HAVE_RUN if call.runs else Verdict.NOT_RUN
+    return CallError(
+        ErrorCode.ENDPOINT_LIMITED,
+        f'all endpoints of service "{call.service}" limit their requests; the '
+        f'next one is accepted in {wait_ms} ms',
+        verdict,
+        retry_after_ms=wait_ms,
+    )
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -116,16 +116,16 @@
         """Whether any service has an endpoint that is not leaving."""
         return bool(self._by_service)
 
-    def choose(
+    def rank(
         self,
         service: ServiceName,
         affinity_key: str,
         excluded: Collection[str],
         warm_endpoint: str = '',
-    ) -> Endpoint | None:
-        """Return the endpoint with the lowest cost for a request.
+    ) -> list[Endpoint]:
+        """Return the endpoints for a request, that with the lowest cost first.
 
-        An endpoint in backoff is returned only if all others are excluded or
+        Endpoints in backoff are returned only if all others are excluded or
         in backoff as well.
 
         Args:
@@ -136,7 +136,7 @@
                 of the prompt; empty if it is unknown.
 
         Returns:
-            The endpoint; None if the service has none but the excluded ones.
+            The endpoints; empty if the service has none but the excluded ones.
         """
         now_ms = self._clock.now_ms()
         usable = [
@@ -144,8 +144,6 @@
             for endpoint in self._by_service.get(service, ())
             if endpoint.id not in excluded
         ]
-        if not usable:
-            return None
         active = [
             endpoint
             for endpoint in usable
@@ -157,7 +155,11 @@
             # Instances that know nothing must not all choose the same endpoint.
             return self._cost(item, warm_id, now_ms), self._rng.random()
 
-        return min(active or usable, key=rank)
+        return sorted(active or usable, key=rank)
+
+    def is_listed(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is still listed and not leaving."""
+        return endpoint in self._by_service.get(endpoint.service, ())
 
     def explain(
         self, endpoint: Endpoint, affinity_key: str, warm_endpoint: str = ''
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -31,6 +31,8 @@
         LEADER_LOST: Losses of contact to the leader of the control group.
         LEDGER_OPENED: Attempts to open a turn on a ledger, by outcome.
         RATE_REQUESTED: Requests for rate tokens, by ``GrantOutcome``.
+        SLOT_REQUESTED: Requests for slots at limited endpoints, by
+            ``GrantOutcome``.
     """
 
     REFUSED = 'refused'
@@ -53,10 +55,11 @@
     LEADER_LOST = 'leader.lost'
     LEDGER_OPENED = 'ledger.opened'
     RATE_REQUESTED = 'rate.asked'
+    SLOT_REQUESTED = 'slot.requested'
 
 
 class GrantOutcome(enum.Enum):
-    """Reasons of ``Counter.RATE_REQUESTED``: whether tokens were granted."""
+    """Reasons of ``RATE_REQUESTED`` and ``SLOT_REQUESTED``: what was granted."""
 
     GRANTED = 'granted'
     NONE = 'none'
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -15,6 +15,8 @@
     GrantReply,
     GrantRequest,
     ReturnToken,
+    SlotReply,
+    SlotRequest,
 )
 from acaciaramp.errors import CallError
 from acaciaramp.forwarding.connections import ConnectionPool
@@ -94,7 +96,7 @@
             self._request_tokens, GRANT_LIFETIME_MS, context.clock
         )
         self._selector = make_selector(cfg, context.clock, rng)
-        self._limits = EndpointLimits(context.clock)
+        self._limits = EndpointLimits(self._request_slot, context.clock)
         self._connections = ConnectionPool(context.clock, self._max_connections)
         self._follower = context.make_follower(
             self._on_table, self._on_view, lambda: None
@@ -228,6 +230,14 @@
         )
         return reply.granted, reply.wait_ms
 
+    async def _request_slot(self, req: SlotRequest) -> SlotReply:
+        """Ask the owner for a slot at a limited endpoint.
+
+        Raises:
+            CallError: The owner did not reply in time.
+        """
+        return await self._follower.request(req, SlotReply, _GRANT_TIMEOUT_MS)
+
     def _return_token(self, workspace: WorkspaceId) -> None:
         self._context.tasks.start_soon(
             self._follower.notify, ReturnToken(workspace)
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -21,6 +21,7 @@
 )
 from acaciaramp.conversations.turns import TurnManager
 from acaciaramp.coordination.codec import encode
+from acaciaramp.coordination.slots import SlotOwner
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.forwarding.connections import ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
@@ -46,7 +47,11 @@
 
 if TYPE_CHECKING:
     from acaciaramp.conversations.client import LedgerClient
-    from acaciaramp.coordination.messages import Endpoint
+    from acaciaramp.coordination.messages import (
+        Endpoint,
+        SlotReply,
+        SlotRequest,
+    )
 
 NON_IDEMPOTENT = build.route(kind=RouteKind.NON_IDEMPOTENT, timeout_ms=500)
 IDEMPOTENT = build.route(kind=RouteKind.IDEMPOTENT, timeout_ms=500, attempts=2)
@@ -103,7 +108,9 @@
         router: Router with one route.
         selector: Selector of the endpoints.
         quota: Rate limiter; without limits unless a test configures it.
+        slots: Owner of the slots at limited endpoints.
         limits: Request limits that endpoints state.
+        has_owner: Whether the owner of the slots replies.
         crashes: Digests of requests that were reported as crashes.
         metrics: Metrics of the gateway.
         returned: Workspaces whose tokens were returned.
@@ -115,6 +122,7 @@
         codec = PlatformCodec()
         self.crashes: list[str] = []
         self.returned: list[str] = []
+        self.has_owner = True
         self.metrics = Metrics()
         self.ledger = LocalLedger()
         self.router = Router(random.Random(1))
@@ -123,7 +131,8 @@
             AvailabilityZone('north'), 'east', {}, clock, random.Random(1)
         )
         self.quota = Quota(_grant_no_tokens, 500, clock)
-        self.limits = EndpointLimits(clock)
+        self.slots = SlotOwner(clock)
+        self.limits = EndpointLimits(self._request_slot, clock)
         self.gateway = Gateway(
             codec=codec,
             router=self.router,
@@ -153,6 +162,11 @@
             return_token=self.returned.append,
         )
 
+    async def _request_slot(self, req: SlotRequest) -> SlotReply:
+        if not self.has_owner:
+            raise CallError(ErrorCode.HOME_UNREACHABLE, 'nobody answers')
+        return self.slots.reserve(req)
+
     async def request(
         self,
         attempt: str = 'a1',
--- a/tests/forwarding/test_selector.py
+++ b/tests/forwarding/test_selector.py
@@ -43,8 +43,8 @@
 def chosen(
     selector: EndpointSelector, affinity_key: str = '', *excluded: str
 ) -> str | None:
-    endpoint = selector.choose(build.MODEL, affinity_key, excluded)
-    return None if endpoint is None else endpoint.id
+    ranked = selector.rank(build.MODEL, affinity_key, excluded)
+    return ranked[0].id if ranked else None
 
 
 def test_the_least_busy_endpoint_is_chosen() -> None:
@@ -184,14 +184,10 @@
 
 def test_a_program_stays_with_the_endpoint_that_the_ledger_names() -> None:
     for selector in entries():
-        found = selector.choose(build.MODEL, 'session', (), 'e-3')
-        assert found is not None
-        assert found.id == 'e-3'
+        assert selector.rank(build.MODEL, 'session', (), 'e-3')[0].id == 'e-3'
 
 
 def test_a_program_moves_on_from_a_busy_endpoint() -> None:
     selector = entries()[0]
     selector.record_load(NEAR[3], EndpointLoad(6, 4, 6))
-    found = selector.choose(build.MODEL, 'session', (), 'e-3')
-    assert found is not None
-    assert found.id != 'e-3'
+    assert selector.rank(build.MODEL, 'session', (), 'e-3')[0].id != 'e-3'
