Log the versions of endpoints and the streams that requests resume

No line named the version of an endpoint or the stream that a request goes on with, so that the hypotheses could not be told apart.

The list's version of an endpoint is kept, the request that began a resumed stream is decoded, and the line of each selection has both. Nothing acts on them yet.

--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -52,6 +52,7 @@
         slots: Number of requests that it runs concurrently.
         is_leaving: Whether it must get no new requests.
         born_ms: Wall-clock time of its start in milliseconds; 0 if unknown.
+        version: Version of its software; empty if unknown.
     """
 
     id: EndpointId
@@ -62,6 +63,7 @@
     slots: int
     is_leaving: bool = False
     born_ms: int = 0
+    version: str = ''
 
 
 class View(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -199,6 +199,8 @@
             'Selected an endpoint; sending the request to it.',
             attempt=call.inbound.attempt,
             service=call.service,
+            version=endpoint.version,
+            resumes=call.inbound.resumed,
             left_ms=call.deadline_ms - self._clock.now_ms(),
             limit_per_s=self._limits.per_s(endpoint.id),
             **self._selector.explain(
--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -48,6 +48,8 @@
         object_key: Identifies the object that the request is about; may be
             empty.
         turn: Parameters of the turn.
+        resumed: Id of the request that began the stream which this one resumes;
+            None if it resumes none, empty if the caller does not say which.
         headers: Headers that are forwarded to the endpoint.
         forged: Names of received headers that only the system may set.
         body: Request body.
@@ -65,6 +67,7 @@
     object_key: str
     turn: TurnParams
     headers: RawHeaders
+    resumed: str | None = None
     forged: tuple[str, ...] = ()
     body: bytes = b''
     started_ms: int = 0
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -97,6 +97,7 @@
             wait_ms=_int_or_none(by_name, _DEADLINE),
             object_key=_text(by_name, b'x-affinity-key'),
             turn=_turn_params(by_name),
+            resumed=_resumed(by_name),
             headers=_forwarded_headers(raw, by_name),
             forged=tuple(
                 name.decode() for name in by_name if name in _SYSTEM_HEADERS
@@ -216,6 +217,17 @@
     )
 
 
+def _resumed(by_name: dict[bytes, bytes]) -> str | None:
+    """Return the id of the request that began the stream to be resumed.
+
+    It is empty if the request has only the position in a stream, and None if it
+    has neither.
+    """
+    if b'resumes' in by_name or b'last-event-id' in by_name:
+        return _text(by_name, b'resumes')
+    return None
+
+
 def _output_tokens(counts: list[str]) -> int:
     if len(counts) < 2:
         return 0
--- a/src/acaciaramp/platform/instances.py
+++ b/src/acaciaramp/platform/instances.py
@@ -41,7 +41,11 @@
 
 
 class _Instance(msgspec.Struct, kw_only=True):
-    """One entry; ``born`` is the endpoint's start time, wall clock, ms."""
+    """One entry.
+
+    ``version`` is that of the endpoint's software, ``born`` its start time, wall
+    clock, ms.
+    """
 
     id: str
     service: str
@@ -49,6 +53,7 @@
     zone: str
     slots: int
     state: Literal['ready', 'draining']
+    version: str = ''
     born: int = 0
 
 
@@ -136,4 +141,5 @@
         slots=wire.slots,
         is_leaving=wire.state == 'draining',
         born_ms=wire.born,
+        version=wire.version,
     )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -69,6 +69,22 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('headers', 'resumed'),
+    [
+        ([], None),
+        ([(b'last-event-id', b'4'), (b'resumes', b'a0')], 'a0'),
+        ([(b'resumes', b'a0')], 'a0'),
+        ([(b'last-event-id', b'4')], ''),
+    ],
+)
+def test_the_resumed_stream_is_decoded(
+    headers: list[tuple[bytes, bytes]], resumed: str | None
+) -> None:
+    assert CODEC.read_request(scope(*headers)).resumed == resumed
+    assert set(headers) <= set(endpoint_headers(*headers))
+
+
 def test_headers_reserved_for_the_system_are_replaced() -> None:
     headers = endpoint_headers(
         (b'x-tenant', b'forged'),
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -39,6 +39,7 @@
     assert metrics.counts['bad_input.list_entry'] == 2 * len(INVALID)
     assert (found.id, found.host, found.port) == ('i-1', '10.0.0.9', 80)
     assert (found.slots, found.is_leaving, found.born_ms) == (12, True, 5)
+    assert found.version == 'v1'
 
 
 def test_list_whose_pages_never_end_is_an_error() -> None:
