Resume streams only at the version that began them

Cause: endpoints were chosen without regard to their version, and nothing remembered which one had begun a stream. Callers come back through another entry, or after all entries lost power.

Ruled out: a late list of endpoints (the versions in the logs give the same counts as the rule); the loss of entries as the only cause (a stream was joined while all entries ran).

The ledger keeps the origin of each resumable stream, its service and version, committed before the request is sent. It travels with the command that opens the turn. Who resumes the stream gets only endpoints of that origin, and is refused at once if there are none. Since no event can reach a caller before the origin is on a majority of disks, no loss of entries, or of power, can separate the two.

--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -1,6 +1,7 @@
 """The ledger as a deterministic state machine.
 
-It holds the token budgets of programs and the retained turns.
+It holds the token budgets of programs, the retained turns and the origins of
+streams that may be resumed.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import msgspec
 
 from acaciaramp.conversations.messages import (
+    BegunStream,
     CloseReply,
     CloseTurn,
     LedgerCommand,
@@ -18,6 +20,7 @@
     OpenTurn,
     Reservation,
     RetainedTurn,
+    StreamOrigin,
     TurnKey,
 )
 from acaciaramp.ids import ProgramId, WorkspaceId
@@ -71,6 +74,7 @@
     accounts: list[tuple[WorkspaceId, ProgramId, Account]]
     ended: list[tuple[TurnKey, int]] = []
     commands: int = 0
+    streams: list[tuple[TurnKey, BegunStream]] = []
 
 
 _state_decoder = msgspec.msgpack.Decoder(_State)
@@ -84,6 +88,7 @@
         self._turns: dict[TurnKey, RetainedTurn] = {}
         self._accounts: dict[tuple[WorkspaceId, ProgramId], Account] = {}
         self._ended: dict[TurnKey, int] = {}
+        self._streams: dict[TurnKey, BegunStream] = {}
         self._now_ms = 0
         self._commands = 0
 
@@ -106,9 +111,15 @@
             for key, turn in self._turns.items()
         ]
         accounts = [(*key, account) for key, account in self._accounts.items()]
-        ended = list(self._ended.items())
         return _encode(
-            _State(self._now_ms, turns, accounts, ended, self._commands)
+            _State(
+                now_ms=self._now_ms,
+                turns=turns,
+                accounts=accounts,
+                ended=list(self._ended.items()),
+                commands=self._commands,
+                streams=list(self._streams.items()),
+            )
         )
 
     def restore(self, state: bytes) -> None:
@@ -116,6 +127,7 @@
         self._turns = {}
         self._accounts = {}
         self._ended = {}
+        self._streams = {}
         self._now_ms = 0
         self._commands = 0
         if not state:
@@ -128,6 +140,7 @@
         for owner, program, account in stored.accounts:
             self._accounts[owner, program] = account
         self._ended = dict(stored.ended)
+        self._streams = dict(stored.streams)
 
     def chain_of(self, key: TurnKey) -> bytes | None:
         """Return the contents of a turn and its predecessors, oldest first.
@@ -144,6 +157,32 @@
         return self._accounts.setdefault((key.workspace, program), Account())
 
     def _open(self, command: OpenTurn) -> OpenReply:
+        key = command.turn
+        origin = self._origin_of(command)
+        if command.resumes is not None and origin is None:
+            return OpenReply(OpenOutcome.UNKNOWN_STREAM)
+        reply = self._open_chain(command)
+        if reply.outcome is not OpenOutcome.OPENED:
+            return reply
+        if command.begins is not None:
+            self._record_stream(key, command.begins)
+        return msgspec.structs.replace(reply, origin=origin)
+
+    def _origin_of(self, command: OpenTurn) -> StreamOrigin | None:
+        """Return the origin of the stream that a turn resumes, if it is known."""
+        if command.resumes is None:
+            return None
+        found = self._streams.get(
+            TurnKey(command.turn.workspace, command.resumes)
+        )
+        return None if found is None else found.origin
+
+    def _record_stream(self, key: TurnKey, begun: BegunStream) -> None:
+        stored = self._streams.get(key)
+        if stored is None or stored.number < begun.number:
+            self._streams[key] = begun
+
+    def _open_chain(self, command: OpenTurn) -> OpenReply:
         key = command.turn
         chain = b''
         if command.previous is not None:
@@ -210,7 +249,7 @@
             turn = self._turns.get(TurnKey(key.workspace, turn.previous))
 
     def _sweep(self) -> None:
-        """Remove expired turns, keys of ended turns and idle accounts.
+        """Remove expired turns and streams, keys of ended turns, idle accounts.
 
         An expired turn is kept while another stored turn continues it.
         """
@@ -230,6 +269,11 @@
             for key, at_ms in self._ended.items()
             if at_ms >= ended_cutoff_ms
         }
+        self._streams = {
+            key: begun
+            for key, begun in self._streams.items()
+            if begun.until_ms >= self._now_ms
+        }
         account_cutoff_ms = self._now_ms - ACCOUNT_RETENTION_MS
         self._accounts = {
             key: account
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from acaciaramp.ids import ProgramId, WorkspaceId
+from acaciaramp.ids import ProgramId, ServiceName, WorkspaceId
 from acaciaramp.replication import messages as msgs
 
 
@@ -36,6 +36,34 @@
     budget: int
 
 
+class StreamOrigin(msgspec.Struct, frozen=True):
+    """Which endpoints write what fits together with the events of a stream.
+
+    Attributes:
+        service: Service of the endpoint that began the stream.
+        version: Version of that endpoint's software.
+    """
+
+    service: ServiceName
+    version: str
+
+
+class BegunStream(msgspec.Struct, frozen=True, kw_only=True):
+    """Origin of a stream that another request may resume.
+
+    Attributes:
+        origin: The origin.
+        number: Counts the origins that were recorded for the same request. The
+            highest one holds, whatever the order in which they arrive.
+        until_ms: Wall-clock time after which nobody resumes the stream,
+            milliseconds.
+    """
+
+    origin: StreamOrigin
+    number: int
+    until_ms: int
+
+
 class OpenTurn(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Command that opens a turn.
 
@@ -46,6 +74,8 @@
         has_chain: Whether the sender has cached the chain of that turn, so
             that the reply can leave it out.
         at_ms: Wall-clock time at the sender, milliseconds.
+        begins: Stream that the turn begins; None if it cannot be resumed.
+        resumes: Request id of the turn whose stream it resumes, if any.
     """
 
     turn: TurnKey
@@ -53,6 +83,8 @@
     previous: str | None = None
     has_chain: bool = False
     at_ms: int = 0
+    begins: BegunStream | None = None
+    resumes: str | None = None
 
 
 class RetainedTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,12 +133,14 @@
         EXHAUSTED: The remaining budget is less than the turn may generate.
         UNKNOWN_TURN: The workspace has no stored turn with the previous id.
         ENDED: The turn was closed before; this command is a late duplicate.
+        UNKNOWN_STREAM: No origin is stored of the stream to be resumed.
     """
 
     OPENED = 'opened'
     EXHAUSTED = 'exhausted'
     UNKNOWN_TURN = 'unknown_turn'
     ENDED = 'ended'
+    UNKNOWN_STREAM = 'unknown_stream'
 
 
 class OpenReply(msgspec.Struct, frozen=True, tag=True):
@@ -121,6 +155,7 @@
             with its maximum; set for ``EXHAUSTED`` only.
         endpoint: Endpoint that ran the program's last turn, whose cache may
             hold the beginning of the prompt; empty if unknown.
+        origin: Origin of the stream that the turn resumes, if it resumes one.
     """
 
     outcome: OpenOutcome
@@ -129,6 +164,7 @@
     is_new: bool = False
     under_way: int = 0
     endpoint: str = ''
+    origin: StreamOrigin | None = None
 
 
 class CloseReply(msgspec.Struct, frozen=True, tag=True):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -7,11 +7,14 @@
 import msgspec
 
 from acaciaramp.conversations.messages import (
+    BegunStream,
     CloseTurn,
     OpenOutcome,
+    OpenReply,
     OpenTurn,
     Reservation,
     RetainedTurn,
+    StreamOrigin,
     TurnKey,
 )
 from acaciaramp.errors import CallError, ErrorCode
@@ -30,8 +33,11 @@
 # Time limit for settling a turn in the background. The ledger elects a new
 # leader well within this time, even after a power loss of all instances.
 _SETTLE_TIMEOUT_MS = 15_000
+# How much longer than the time limit of its request a stream may be resumed:
+# callers repeat a request several times within their own.
+_RESUME_MARGIN_MS = 60_000
 # The ledger elects a new leader within about a second.
-_RETRY_AFTER_MS = 500
+LEDGER_RETRY_AFTER_MS = 500
 
 
 class TurnPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,6 +51,10 @@
         previous: Request id of the retained turn that it continues, if any.
         content: Input of the turn.
         retention_ms: How long the turn is stored; 0 if it is not retained.
+        origin: Origin of the stream that it is going to begin; None if it cannot
+            be resumed or is not known yet.
+        resumes: Request id of the turn whose stream it resumes, if any.
+        timeout_ms: Time limit of the request, milliseconds.
     """
 
     key: TurnKey
@@ -54,11 +64,15 @@
     previous: str | None
     content: bytes
     retention_ms: int
+    origin: StreamOrigin | None = None
+    resumes: str | None = None
+    timeout_ms: int = 0
 
     @property
     def needs_ledger(self) -> bool:
         """Whether the ledger has to be asked before the turn is sent."""
-        return self._has_budget or self.previous is not None
+        has_stream = self.origin is not None or self.resumes is not None
+        return self._has_budget or has_stream or self.previous is not None
 
     def reservation(self) -> Reservation | None:
         """Return the reservation of the turn, None without a budget."""
@@ -97,6 +111,8 @@
         chain: Contents of the turns that it continues, oldest first.
         is_new: Whether it is the first turn of its program.
         endpoint: Endpoint that ran the program's last turn; empty if unknown.
+        origin: Origin of the stream, of the resumed one if it resumes one; None
+            if none is recorded.
     """
 
     def __init__(
@@ -106,12 +122,20 @@
         *,
         is_new: bool,
         endpoint: str = '',
+        origin: StreamOrigin | None = None,
     ) -> None:
         """Create the turn from the reply of the ledger."""
         self.plan = plan
         self.chain = chain
         self.is_new = is_new
         self.endpoint = endpoint
+        self.origin = origin
+        self._origins = 0 if origin is None else 1
+
+    def next_origin_number(self) -> int:
+        """Return the number of the next origin that is recorded."""
+        self._origins += 1
+        return self._origins
 
     @property
     def body(self) -> bytes:
@@ -169,6 +193,8 @@
             previous=plan.previous,
             has_chain=cached is not None,
             at_ms=self._clock.wall_ms(),
+            begins=self._begun_stream(plan, plan.origin, 1),
+            resumes=plan.resumes,
         )
         try:
             reply = await self._ledger.open_turn(req, wait_ms)
@@ -177,32 +203,46 @@
             raise CallError(
                 ErrorCode.HOME_UNREACHABLE,
                 f'the ledger does not answer: {exc}',
-                retry_after_ms=_RETRY_AFTER_MS,
+                retry_after_ms=LEDGER_RETRY_AFTER_MS,
             ) from None
         except BaseException:
             # Cancelled: the ledger may have reserved the tokens already.
             self.release(plan)
             raise
-        if reply.outcome is OpenOutcome.EXHAUSTED:
-            raise CallError(
-                ErrorCode.BUDGET_EXHAUSTED,
-                f'{reply.spent} of {plan.budget} tokens are used or reserved, '
-                f'with {reply.under_way} turns under way or broken off; '
-                f'the turn may need {plan.most_tokens}',
-            )
-        if reply.outcome is OpenOutcome.UNKNOWN_TURN:
-            raise CallError(
-                ErrorCode.UNKNOWN_STEP, f'there is no turn "{plan.previous}"'
-            )
-        if reply.outcome is OpenOutcome.ENDED:
-            raise CallError(
-                ErrorCode.BAD_REQUEST,
-                f'a request "{plan.key.attempt}" has ended before',
-            )
+        if reply.outcome is not OpenOutcome.OPENED:
+            raise _refusal(plan, reply)
         chain = reply.chain if cached is None else cached
         return OpenedTurn(
-            plan, chain, is_new=reply.is_new, endpoint=reply.endpoint
+            plan,
+            chain,
+            is_new=reply.is_new,
+            endpoint=reply.endpoint,
+            origin=plan.origin if plan.resumes is None else reply.origin,
+        )
+
+    async def record_origin(
+        self, turn: OpenedTurn, origin: StreamOrigin, wait_ms: int
+    ) -> None:
+        """Record another origin of a stream none of whose events was sent yet.
+
+        It is committed to the ledger when this returns.
+
+        Args:
+            turn: The turn that begins the stream.
+            origin: The new origin.
+            wait_ms: Time limit, milliseconds.
+
+        Raises:
+            CallError: The ledger did not reply in time.
+        """
+        number = turn.next_origin_number()
+        req = OpenTurn(
+            turn=turn.plan.key,
+            at_ms=self._clock.wall_ms(),
+            begins=self._begun_stream(turn.plan, origin, number),
         )
+        await self._ledger.open_turn(req, wait_ms)
+        turn.origin = origin
 
     async def commit(
         self, turn: OpenedTurn, result: TurnResult, wait_ms: int
@@ -276,8 +316,44 @@
         finally:
             self._pending_settlements -= 1
 
+    def _begun_stream(
+        self, plan: TurnPlan, origin: StreamOrigin | None, number: int
+    ) -> BegunStream | None:
+        if origin is None:
+            return None
+        lifetime_ms = plan.timeout_ms + _RESUME_MARGIN_MS
+        until_ms = self._clock.wall_ms() + lifetime_ms
+        return BegunStream(origin=origin, number=number, until_ms=until_ms)
+
     def _cached_chain(self, plan: TurnPlan) -> bytes | None:
         if plan.previous is None:
             return None
         key = TurnKey(plan.key.workspace, plan.previous)
         return self._cache.get(key)
+
+
+def _refusal(plan: TurnPlan, reply: OpenReply) -> CallError:
+    """Return the error for a turn that the ledger does not open."""
+    match reply.outcome:
+        case OpenOutcome.EXHAUSTED:
+            return CallError(
+                ErrorCode.BUDGET_EXHAUSTED,
+                f'{reply.spent} of {plan.budget} tokens are used or reserved, '
+                f'with {reply.under_way} turns under way or broken off; '
+                f'the turn may need {plan.most_tokens}',
+            )
+        case OpenOutcome.UNKNOWN_TURN:
+            return CallError(
+                ErrorCode.UNKNOWN_STEP, f'there is no turn "{plan.previous}"'
+            )
+        case OpenOutcome.UNKNOWN_STREAM:
+            return CallError(
+                ErrorCode.UNKNOWN_STREAM,
+                'it is not known which endpoints can go on with the stream of '
+                f'request "{plan.resumes}"',
+            )
+        case _:
+            return CallError(
+                ErrorCode.BAD_REQUEST,
+                f'a request "{plan.key.attempt}" has ended before',
+            )
--- a/src/acaciaramp/errors.py
+++ b/src/acaciaramp/errors.py
@@ -29,6 +29,8 @@
     UNKNOWN_MODEL = 'unknown_model'
     UNKNOWN_PROGRAM = 'unknown_program'
     UNKNOWN_STEP = 'unknown_step'
+    UNKNOWN_STREAM = 'unknown_stream'
+    STREAM_VERSION_GONE = 'stream_version_gone'
     METHOD_NOT_ALLOWED = 'method_not_allowed'
     STEP_CONFLICT = 'step_conflict'
     STEP_SKIPPED = 'step_skipped'
--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -6,10 +6,12 @@
 
 import msgspec
 
+from acaciaramp.conversations.messages import StreamOrigin
 from acaciaramp.conversations.turns import OpenedTurn
 from acaciaramp.forwarding.messages import InboundRequest
+from acaciaramp.forwarding.selector import EndpointQuery
 from acaciaramp.ids import ServiceName, WorkspaceId
-from acaciaramp.routing.model import Route
+from acaciaramp.routing.model import Route, RouteKind
 
 _DIGEST_BYTES = 12
 
@@ -27,6 +29,8 @@
         turn: The opened turn; None for a request without one.
         runs: Number of attempts that may have executed the request.
         endpoint: Endpoint of the last attempt; empty before the first.
+        expected_origin: Probable origin of the stream that it begins; None if
+            it begins none that may be resumed, or it is not known.
     """
 
     inbound: InboundRequest
@@ -37,6 +41,37 @@
     turn: OpenedTurn | None = None
     runs: int = 0
     endpoint: str = ''
+    expected_origin: StreamOrigin | None = None
+
+    @property
+    def begins_stream(self) -> bool:
+        """Whether it begins a stream that another request may resume."""
+        is_stream = self.route.kind is RouteKind.STREAMING
+        is_resumable = is_stream and self.route.is_resumable
+        return is_resumable and self.inbound.resumed is None
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether it resumes the stream of an earlier request."""
+        is_stream = self.route.kind is RouteKind.STREAMING
+        is_resumable = is_stream and self.route.is_resumable
+        return is_resumable and self.inbound.resumed is not None
+
+    @property
+    def origin(self) -> StreamOrigin | None:
+        """Recorded origin of its stream; None if none is recorded."""
+        return None if self.turn is None else self.turn.origin
+
+    @property
+    def endpoint_query(self) -> EndpointQuery:
+        """What the request needs of its endpoint."""
+        return EndpointQuery(
+            service=self.service,
+            affinity_key=self.affinity_key,
+            warm_endpoint=self.warm_endpoint,
+            version=None if self.origin is None else self.origin.version,
+            requires_version=self.resumes_stream,
+        )
 
     @property
     def body(self) -> bytes:
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from acaciaramp.conversations.messages import StreamOrigin
 from acaciaramp.endpoints.failures import EndpointError, Failure
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import BadInput, Counter, Timer
@@ -14,7 +15,7 @@
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Awaitable, Callable, Collection
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
@@ -52,6 +53,7 @@
         clock: Clock,
         metrics: Metrics,
         report_crash: Callable[[str, Endpoint], None],
+        record_origin: Callable[[Call, StreamOrigin], Awaitable[None]],
     ) -> None:
         """Create the forwarder.
 
@@ -64,6 +66,8 @@
             metrics: Counts retries and invalid responses.
             report_crash: Called with the digest of a request and the endpoint
                 whose connection failed during the request.
+            record_origin: Commits the origin of the stream that a request
+                begins; raises ``CallError``.
         """
         self._codec = codec
         self._selector = selector
@@ -72,6 +76,32 @@
         self._clock = clock
         self._metrics = metrics
         self._report_crash = report_crash
+        self._record_origin = record_origin
+
+    def expected_origin(self, call: Call) -> StreamOrigin | None:
+        """Return the probable origin of the stream that a request begins.
+
+        None if it begins none that may be resumed, or if no endpoint is known.
+        """
+        if not call.begins_stream:
+            return None
+        ranked = self._selector.rank(call.endpoint_query)
+        return _origin(ranked[0]) if ranked else None
+
+    def check_resumption(self, call: Call) -> None:
+        """Check that some endpoint can go on with the stream of a request.
+
+        Raises:
+            CallError: The version that began the stream is not listed any more.
+        """
+        if call.resumes_stream and self._selector.lacks_version(
+            call.endpoint_query
+        ):
+            raise CallError(
+                ErrorCode.STREAM_VERSION_GONE,
+                f'no endpoint of service "{call.service}" has the version that '
+                'began the stream',
+            )
 
     async def forward(self, call: Call, relay: Relay) -> None:
         """Forward a request and relay its response.
@@ -89,7 +119,7 @@
         excluded: set[str] = set()
         is_done = False
         while not is_done:
-            endpoint = await self._select_endpoint(call, excluded)
+            endpoint = await self._next_endpoint(call, excluded)
             try:
                 await self._try_endpoint(call, endpoint, relay)
             except EndpointError as exc:
@@ -101,15 +131,33 @@
             else:
                 is_done = True
 
+    async def _next_endpoint(self, call: Call, excluded: set[str]) -> Endpoint:
+        """Return the next endpoint; the origin of its stream is committed.
+
+        A caller whose connection is lost may resume the stream through another
+        instance, so that the origin is stored before the first event.
+
+        Raises:
+            CallError: No endpoint is available, or the origin could not be
+                committed.
+        """
+        endpoint = await self._select_endpoint(call, excluded)
+        origin = _origin(endpoint)
+        if call.begins_stream and call.origin != origin:
+            await self._record_origin(call, origin)
+        return endpoint
+
     async def _select_endpoint(
         self, call: Call, excluded: set[str]
     ) -> Endpoint:
         """Return the next endpoint; once all are excluded, retry them all.
 
         Raises:
-            CallError: No endpoint is available within the retry window.
+            CallError: No endpoint is available within the retry window, or no
+                endpoint can go on with the stream that the request resumes.
         """
         while True:
+            self.check_resumption(call)
             endpoint = await self._choose_endpoint(call, excluded)
             if endpoint is not None:
                 return endpoint
@@ -130,9 +178,7 @@
             CallError: All endpoints limit their requests, and none has a slot
                 in time.
         """
-        ranked = self._selector.rank(
-            call.service, call.affinity_key, excluded, call.warm_endpoint
-        )
+        ranked = self._selector.rank(call.endpoint_query, excluded)
         limited = list(itertools.takewhile(self._limits.is_limited, ranked))
         others = ranked[len(limited) :]
         endpoint: Endpoint | None = None
@@ -199,13 +245,10 @@
             'Selected an endpoint; sending the request to it.',
             attempt=call.inbound.attempt,
             service=call.service,
-            version=endpoint.version,
             resumes=call.inbound.resumed,
             left_ms=call.deadline_ms - self._clock.now_ms(),
             limit_per_s=self._limits.per_s(endpoint.id),
-            **self._selector.explain(
-                endpoint, call.affinity_key, call.warm_endpoint
-            ),
+            **self._selector.explain(endpoint, call.endpoint_query),
         )
         self._selector.record_start(endpoint, call.affinity_key)
         call.endpoint = endpoint.id
@@ -339,6 +382,10 @@
         raise _unknown_outcome_error(exc) from None
 
 
+def _origin(endpoint: Endpoint) -> StreamOrigin:
+    return StreamOrigin(endpoint.service, endpoint.version)
+
+
 def _unknown_outcome_error(exc: EndpointError) -> CallError:
     code = ErrorCode.OUTCOME_UNKNOWN
     if exc.failure is Failure.TIMEOUT:
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -271,11 +271,14 @@
             deadline_ms=inbound.started_ms + _time_limit_ms(inbound, route),
         )
         self._check_quarantine(call)
+        call.expected_origin = self._forwarder.expected_origin(call)
         prefetched = self._start_prefetch(call, tasks)
         try:
             call.turn = await self._turns.open(call)
+            self._direct_resumption(call)
         except CallError:
-            # A turn that its budget does not allow uses no token of the rate.
+            # A turn that may not begin uses no token of the rate.
+            self._turns.settle_failed(call, Verdict.NOT_RUN)
             await self._discard_prefetched(call, prefetched)
             raise
         await self._admit(call, prefetched)
@@ -292,6 +295,23 @@
             raise
         self._record_response(call, relay)
 
+    def _direct_resumption(self, call: Call) -> None:
+        """Direct a call that resumes a stream to the service that began it.
+
+        Raises:
+            CallError: The stream cannot go on.
+        """
+        if not call.resumes_stream or call.origin is None:
+            return
+        call.service = call.origin.service
+        if not call.route.allows(call.service):
+            raise CallError(
+                ErrorCode.STREAM_VERSION_GONE,
+                f'service "{call.service}", which began the stream, is no target '
+                'of the route any more',
+            )
+        self._forwarder.check_resumption(call)
+
     def _start_prefetch(self, call: Call, tasks: TaskGroup) -> anyio.Event:
         """Request a token while the ledger opens the turn of a call.
 
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from acaciaramp.ids import ServiceName
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -22,7 +23,7 @@
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.messages import EndpointLoad
-    from acaciaramp.ids import AvailabilityZone, ServiceName
+    from acaciaramp.ids import AvailabilityZone
 
 logger = get_logger('placement')
 
@@ -38,6 +39,8 @@
 _CROSS_ZONE_COST = 0.25
 _CROSS_REGION_COST = 4
 _CACHE_MISS_COST = 1.5
+# Cost of another version than the recorded one, which takes a commit to change.
+_OTHER_VERSION_COST = 0.5
 _MAX_AFFINITY_KEYS = 4_096
 
 
@@ -60,6 +63,29 @@
     paused_until_ms: int = 0
 
 
+class EndpointQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """What a request needs of its endpoint, and what it prefers.
+
+    Attributes:
+        service: Service of the request.
+        affinity_key: Shared by related requests; empty for none.
+        warm_endpoint: Endpoint whose cache is known to hold the beginning of
+            the prompt; empty if it is unknown.
+        version: Preferred version of the endpoint's software; None for any.
+        requires_version: Whether no other version will do.
+    """
+
+    service: ServiceName
+    affinity_key: str = ''
+    warm_endpoint: str = ''
+    version: str | None = None
+    requires_version: bool = False
+
+    def allows(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint of the service may get the request."""
+        return not self.requires_version or endpoint.version == self.version
+
+
 class EndpointSelector:
     """Selects endpoints by a cost of load, locality and affinity."""
 
@@ -117,11 +143,7 @@
         return bool(self._by_service)
 
     def rank(
-        self,
-        service: ServiceName,
-        affinity_key: str,
-        excluded: Collection[str],
-        warm_endpoint: str = '',
+        self, query: EndpointQuery, excluded: Collection[str] = ()
     ) -> list[Endpoint]:
         """Return the endpoints for a request, that with the lowest cost first.
 
@@ -129,19 +151,16 @@
         in backoff as well.
 
         Args:
-            service: Service of the request.
-            affinity_key: Shared by related requests; empty for none.
+            query: What the request needs and prefers.
             excluded: Ids of endpoints that must not be selected.
-            warm_endpoint: Endpoint whose cache is known to hold the beginning
-                of the prompt; empty if it is unknown.
 
         Returns:
-            The endpoints; empty if the service has none but the excluded ones.
+            The endpoints; empty if there are none but the excluded ones.
         """
         now_ms = self._clock.now_ms()
         usable = [
             endpoint
-            for endpoint in self._by_service.get(service, ())
+            for endpoint in self._candidates(query)
             if endpoint.id not in excluded
         ]
         active = [
@@ -149,11 +168,14 @@
             for endpoint in usable
             if self._states[endpoint.id].paused_until_ms <= now_ms
         ]
-        warm_id = warm_endpoint or self._endpoint_by_affinity.get(affinity_key)
+        warm_id = self._warm_id(query)
 
         def rank(item: Endpoint) -> tuple[float, float]:
+            cost = self._cost(item, warm_id, now_ms)
+            if query.version not in {None, item.version}:
+                cost += _OTHER_VERSION_COST
             # Instances that know nothing must not all choose the same endpoint.
-            return self._cost(item, warm_id, now_ms), self._rng.random()
+            return cost, self._rng.random()
 
         return sorted(active or usable, key=rank)
 
@@ -161,19 +183,27 @@
         """Return whether an endpoint is still listed and not leaving."""
         return endpoint in self._by_service.get(endpoint.service, ())
 
+    def lacks_version(self, query: EndpointQuery) -> bool:
+        """Return whether no listed endpoint of a service has the version.
+
+        An instance that knows no endpoint of the service cannot say so.
+        """
+        is_known = bool(self._by_service.get(query.service))
+        return is_known and not self._candidates(query)
+
     def explain(
-        self, endpoint: Endpoint, affinity_key: str, warm_endpoint: str = ''
+        self, endpoint: Endpoint, query: EndpointQuery
     ) -> dict[str, Any]:
         """Return the inputs of a selection as log fields."""
-        warm_id = warm_endpoint or self._endpoint_by_affinity.get(affinity_key)
         state = self._states[endpoint.id]
         return {
             'endpoint': endpoint.id,
+            'version': endpoint.version,
             'zone': endpoint.availability_zone,
             'in_flight': state.in_flight,
             'foreign': state.foreign,
             'load_age_ms': self._clock.now_ms() - state.reported_ms,
-            'is_warm': warm_id == endpoint.id,
+            'is_warm': self._warm_id(query) == endpoint.id,
         }
 
     def record_start(self, endpoint: Endpoint, affinity_key: str) -> None:
@@ -223,6 +253,16 @@
             pause_ms=backoff_ms,
         )
 
+    def _candidates(self, query: EndpointQuery) -> list[Endpoint]:
+        """Return the endpoints that a request may be sent to."""
+        listed = self._by_service.get(query.service, ())
+        return list(filter(query.allows, listed))
+
+    def _warm_id(self, query: EndpointQuery) -> str | None:
+        """Return the endpoint that is expected to be warm for a request."""
+        known = self._endpoint_by_affinity.get(query.affinity_key)
+        return query.warm_endpoint or known
+
     def _is_in_region(self, endpoint: Endpoint) -> bool:
         region = self._regions.get(endpoint.availability_zone, self._region)
         return region == self._region
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -8,11 +8,13 @@
 
 from acaciaramp.conversations.messages import TurnKey
 from acaciaramp.conversations.turns import (
+    LEDGER_RETRY_AFTER_MS,
     OpenedTurn,
     TurnManager,
     TurnPlan,
     TurnResult,
 )
+from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import WorkspaceId
 from acaciaramp.metrics.names import Timer
 from acaciaramp.routing.model import RouteKind
@@ -23,6 +25,7 @@
     from collections.abc import Awaitable, Callable
 
     from acaciaramp.clock import Clock
+    from acaciaramp.conversations.messages import StreamOrigin
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.relay import Relay
     from acaciaramp.metrics.client import Metrics
@@ -64,7 +67,8 @@
 
         Returns:
             The opened turn; None if the route is not a streaming one, or the
-            call has no budget, continues no turn and is not retained.
+            call has no budget, continues no turn and is neither retained nor
+            resumable.
 
         Raises:
             CallError: The turn must not be sent to an endpoint.
@@ -72,7 +76,8 @@
         if call.route.kind is not RouteKind.STREAMING:
             return None
         plan = _plan(call)
-        if not plan.needs_ledger and not plan.retention_ms:
+        is_stored = plan.retention_ms > 0 or call.begins_stream
+        if not plan.needs_ledger and not is_stored:
             return None
         left_ms = call.deadline_ms - self._clock.now_ms()
         started_ms = self._clock.now_ms()
@@ -85,10 +90,37 @@
             attempt=call.inbound.attempt,
             program=plan.program,
             previous=plan.previous,
+            resumes=plan.resumes,
+            origin=None if turn.origin is None else turn.origin.version,
             took_ms=self._clock.now_ms() - call.inbound.started_ms,
         )
         return turn
 
+    async def record_origin(self, call: Call, origin: StreamOrigin) -> None:
+        """Commit the origin of the stream that a call is about to begin.
+
+        Raises:
+            CallError: The ledger did not reply in time.
+        """
+        if call.turn is None:
+            return
+        logger.info(
+            'Recording another origin of a stream that begins.',
+            attempt=call.inbound.attempt,
+            service=origin.service,
+            version=origin.version,
+        )
+        left_ms = call.deadline_ms - self._clock.now_ms()
+        try:
+            await self._turns.record_origin(call.turn, origin, left_ms)
+        except CallError as exc:
+            raise CallError(
+                ErrorCode.HOME_UNREACHABLE,
+                f'the ledger does not answer: {exc}',
+                Verdict.MAY_HAVE_RUN if call.runs else Verdict.NOT_RUN,
+                retry_after_ms=LEDGER_RETRY_AFTER_MS,
+            ) from None
+
     def make_before_finish(
         self, call: Call
     ) -> Callable[[Relay], Awaitable[None]]:
@@ -148,4 +180,7 @@
         previous=params.previous if call.route.is_retained else None,
         content=call.inbound.body,
         retention_ms=retention_ms,
+        origin=call.expected_origin,
+        resumes=call.inbound.resumed if call.resumes_stream else None,
+        timeout_ms=call.deadline_ms - call.inbound.started_ms,
     )
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -107,13 +107,14 @@
         self._turns = TurnManager(
             ledger, ChainCache(), context.clock, context.tasks
         )
+        lifecycle = TurnLifecycle(
+            self._turns, self._router, context.clock, context.metrics
+        )
         self._gateway = Gateway(
             codec=adapter.codec,
             router=self._router,
             quota=self._quota,
-            turns=TurnLifecycle(
-                self._turns, self._router, context.clock, context.metrics
-            ),
+            turns=lifecycle,
             forwarder=Forwarder(
                 adapter.codec,
                 self._selector,
@@ -122,6 +123,7 @@
                 context.clock,
                 context.metrics,
                 self._report_crash,
+                lifecycle.record_origin,
             ),
             clock=context.clock,
             metrics=context.metrics,
--- a/src/acaciaramp/routing/model.py
+++ b/src/acaciaramp/routing/model.py
@@ -78,6 +78,13 @@
         """Whether endpoints may execute a request more than once."""
         return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
 
+    def allows(self, service: ServiceName) -> bool:
+        """Return whether requests may be sent to a service."""
+        return any(
+            target.service == service and target.weight > 0
+            for target in self.targets
+        )
+
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """Properties shared by all endpoints of a service.
--- a/tests/conversations/test_ledger.py
+++ b/tests/conversations/test_ledger.py
@@ -14,6 +14,7 @@
     Ledger,
 )
 from acaciaramp.conversations.messages import (
+    BegunStream,
     CloseReply,
     CloseTurn,
     OpenOutcome,
@@ -21,6 +22,7 @@
     OpenTurn,
     Reservation,
     RetainedTurn,
+    StreamOrigin,
     TurnKey,
 )
 from acaciaramp.ids import ProgramId, WorkspaceId
@@ -212,3 +214,58 @@
             open_turn(ledger, f'b{number}', at_ms=5_000)
         assert restored.snapshot() == original.snapshot()
     assert original.chain_of(key('old')) is None
+
+
+def begun(version: str, number: int = 1, until_ms: int = 1_000) -> BegunStream:
+    origin = StreamOrigin(build.MODEL, version)
+    return BegunStream(origin=origin, number=number, until_ms=until_ms)
+
+
+def resume(ledger: Ledger, attempt: str, **changes: Any) -> OpenReply:
+    return open_turn(ledger, 'reader', resumes=attempt, **changes)
+
+
+def test_origin_of_a_begun_stream_is_returned_to_those_that_resume_it() -> None:
+    ledger = Ledger()
+    open_turn(ledger, 'a', begins=begun('v1'))
+    reply = resume(ledger, 'a')
+    assert reply.origin == StreamOrigin(build.MODEL, 'v1')
+    assert reply.spent == 60
+
+
+def test_an_unknown_stream_reserves_nothing() -> None:
+    ledger = Ledger()
+    open_turn(ledger, 'a', begins=begun('v1'))
+    assert resume(ledger, 'b').outcome is OpenOutcome.UNKNOWN_STREAM
+    foreign = key('reader', WorkspaceId('other'))
+    reply = resume(ledger, 'a', turn=foreign)
+    assert reply.outcome is OpenOutcome.UNKNOWN_STREAM
+    assert ledger.account(key('a'), PROGRAM).spent == 30
+
+
+def test_the_origin_with_the_highest_number_holds_in_any_order() -> None:
+    ledger = Ledger()
+    open_turn(ledger, 'a', begins=begun('v2', 2), reservation=None)
+    open_turn(ledger, 'a', begins=begun('v1', 1))
+    assert resume(ledger, 'a').origin == StreamOrigin(build.MODEL, 'v2')
+
+
+def test_a_turn_that_is_not_opened_records_no_origin() -> None:
+    ledger = Ledger()
+    for name in 'abc':
+        open_turn(ledger, name)
+    reply = open_turn(ledger, 'd', begins=begun('v1'))
+    assert reply.outcome is OpenOutcome.EXHAUSTED
+    unknown = resume(ledger, 'd', reservation=None)
+    assert unknown.outcome is OpenOutcome.UNKNOWN_STREAM
+
+
+def test_origins_are_kept_in_snapshots_until_they_expire() -> None:
+    ledger = Ledger()
+    open_turn(ledger, 'a', begins=begun('v1', until_ms=1_000))
+    restored = Ledger()
+    restored.restore(ledger.snapshot())
+    assert resume(restored, 'a').origin == StreamOrigin(build.MODEL, 'v1')
+    for number in range(300):
+        open_turn(restored, f'x{number}', reservation=None, at_ms=1_001)
+    assert resume(restored, 'a').outcome is OpenOutcome.UNKNOWN_STREAM
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -105,6 +105,7 @@
     Attributes:
         gateway: The gateway.
         ledger: Ledger of the gateway.
+        endpoints: The endpoints that ``harness_with`` has started.
         router: Router with one route.
         selector: Selector of the endpoints.
         quota: Rate limiter; without limits unless a test configures it.
@@ -116,15 +117,21 @@
         returned: Workspaces whose tokens were returned.
     """
 
-    def __init__(self, tasks: anyio.abc.TaskGroup, route: Route) -> None:
-        """Create the gateway without endpoints."""
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        route: Route,
+        ledger: LocalLedger | None = None,
+    ) -> None:
+        """Create the gateway without endpoints; it has its own ledger or one."""
         clock = SystemClock()
         codec = PlatformCodec()
         self.crashes: list[str] = []
         self.returned: list[str] = []
         self.has_owner = True
         self.metrics = Metrics()
-        self.ledger = LocalLedger()
+        self.ledger = ledger or LocalLedger()
+        self.endpoints: list[Endpoint] = []
         self.router = Router(random.Random(1))
         self.router.install_table(build.routing_table(route))
         self.selector = EndpointSelector(
@@ -133,21 +140,19 @@
         self.quota = Quota(_grant_no_tokens, 500, clock)
         self.slots = SlotOwner(clock)
         self.limits = EndpointLimits(self._request_slot, clock)
+        lifecycle = TurnLifecycle(
+            TurnManager(
+                cast('LedgerClient', self.ledger), ChainCache(), clock, tasks
+            ),
+            self.router,
+            clock,
+            self.metrics,
+        )
         self.gateway = Gateway(
             codec=codec,
             router=self.router,
             quota=self.quota,
-            turns=TurnLifecycle(
-                TurnManager(
-                    cast('LedgerClient', self.ledger),
-                    ChainCache(),
-                    clock,
-                    tasks,
-                ),
-                self.router,
-                clock,
-                self.metrics,
-            ),
+            turns=lifecycle,
             forwarder=Forwarder(
                 codec,
                 self.selector,
@@ -156,6 +161,7 @@
                 clock,
                 self.metrics,
                 lambda digest, _: self.crashes.append(digest),
+                lifecycle.record_origin,
             ),
             clock=clock,
             metrics=self.metrics,
@@ -206,11 +212,11 @@
     async with contextlib.AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(anyio.create_task_group())
         harness = Harness(tasks, route)
-        endpoints: list[Endpoint] = []
         for number, fake in enumerate(fakes):
             serving = fake.serving(f'e-{number}')
-            endpoints.append(await stack.enter_async_context(serving))
-        harness.selector.replace_endpoints(endpoints)
+            endpoint = await stack.enter_async_context(serving)
+            harness.endpoints.append(endpoint)
+        harness.selector.replace_endpoints(harness.endpoints)
         yield harness, fakes
         await anyio.wait_all_tasks_blocked()
         tasks.cancel_scope.cancel()
--- a/tests/forwarding/test_selector.py
+++ b/tests/forwarding/test_selector.py
@@ -8,7 +8,7 @@
 
 from acaciaramp.clock import ManualClock
 from acaciaramp.forwarding.messages import EndpointLoad
-from acaciaramp.forwarding.selector import EndpointSelector
+from acaciaramp.forwarding.selector import EndpointQuery, EndpointSelector
 from acaciaramp.ids import AvailabilityZone
 from acaciaramp.roles.entry import make_selector
 from acaciaramp.settings.node import InstanceList, NodeSettings, RoleName
@@ -43,7 +43,8 @@
 def chosen(
     selector: EndpointSelector, affinity_key: str = '', *excluded: str
 ) -> str | None:
-    ranked = selector.rank(build.MODEL, affinity_key, excluded)
+    query = EndpointQuery(service=build.MODEL, affinity_key=affinity_key)
+    ranked = selector.rank(query, excluded)
     return ranked[0].id if ranked else None
 
 
@@ -151,6 +152,9 @@
 ZONES = ('north', 'south')
 NEAR = [endpoint(f'e-{number}', ZONES[number % 2]) for number in range(8)]
 ENTRIES = 170
+LEDGER_QUERY = EndpointQuery(
+    service=build.MODEL, affinity_key='session', warm_endpoint='e-3'
+)
 
 
 def entries() -> list[EndpointSelector]:
@@ -184,10 +188,41 @@
 
 def test_a_program_stays_with_the_endpoint_that_the_ledger_names() -> None:
     for selector in entries():
-        assert selector.rank(build.MODEL, 'session', (), 'e-3')[0].id == 'e-3'
+        assert selector.rank(LEDGER_QUERY)[0].id == 'e-3'
 
 
 def test_a_program_moves_on_from_a_busy_endpoint() -> None:
     selector = entries()[0]
     selector.record_load(NEAR[3], EndpointLoad(6, 4, 6))
-    assert selector.rank(build.MODEL, 'session', (), 'e-3')[0].id != 'e-3'
+    assert selector.rank(LEDGER_QUERY)[0].id != 'e-3'
+
+
+def test_a_required_version_is_the_only_one_that_is_selected() -> None:
+    old, new = endpoint('o', version='v1'), endpoint('n', version='v2')
+    selector = selector_with(old, new, clock=ManualClock())
+    for _ in range(5):
+        selector.record_start(old, '')
+    query = EndpointQuery(
+        service=build.MODEL, version='v1', requires_version=True
+    )
+    assert selector.rank(query) == [old]
+    assert selector.rank(query, ('o',)) == []
+    assert not selector.lacks_version(query)
+
+
+def test_a_preferred_version_costs_less_than_a_request() -> None:
+    old, new = endpoint('o', version='v1'), endpoint('n', version='v2')
+    selector = selector_with(old, new, clock=ManualClock())
+    query = EndpointQuery(service=build.MODEL, version='v1')
+    assert selector.rank(query)[0] == old
+    selector.record_start(old, '')
+    assert selector.rank(query)[0] == new
+
+
+def test_an_instance_without_a_list_does_not_say_that_a_version_has_gone() -> (
+    None
+):
+    query = EndpointQuery(
+        service=build.MODEL, version='v1', requires_version=True
+    )
+    assert not selector_with(clock=ManualClock()).lacks_version(query)
