Let the last endpoints of a version take resumed streams while they leave

What callers saw: a stream that broke off while all endpoints of its version were leaving was refused (stream_version_gone), though they still served.

Cause: leaving endpoints get no requests, which is right for those that others can serve as well.

Three tenths of drain_ms after an entry has first seen it leave, an endpoint still gets requests that need its version and that no other one can serve. The entry learns of it within a third of drain_ms as a rule, so that the last request is sent well before drain_ms is over.

--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -96,6 +96,7 @@
         regions: Mapping[AvailabilityZone, str],
         clock: Clock,
         rng: random.Random,
+        leaving_grace_ms: int = 0,
     ) -> None:
         """Create the selector without endpoints.
 
@@ -105,13 +106,18 @@
             regions: Region of each availability zone.
             clock: Source of time.
             rng: Chooses among endpoints of equal cost.
+            leaving_grace_ms: How long a leaving endpoint may still get requests
+                that no other one can serve, milliseconds.
         """
+        self._leaving_grace_ms = leaving_grace_ms
         self._rng = rng
         self._zone = zone
         self._region = region
         self._regions = regions
         self._clock = clock
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
+        # Leaving endpoints with the time at which each was first listed as such.
+        self._leaving: dict[Endpoint, int] = {}
         self._states: dict[str, _EndpointState] = collections.defaultdict(
             _EndpointState
         )
@@ -120,7 +126,10 @@
         )
 
     def replace_endpoints(self, endpoints: Collection[Endpoint]) -> None:
-        """Replace the list of endpoints; those that are leaving get no requests.
+        """Replace the list of endpoints.
+
+        Those that are leaving get only requests that no other one can serve, and
+        for a short time.
 
         The state of an endpoint that is not listed any more is discarded by the
         first call after its last request has ended.
@@ -129,6 +138,12 @@
         for item in endpoints:
             if not item.is_leaving:
                 by_service.setdefault(item.service, []).append(item)
+        now_ms = self._clock.now_ms()
+        self._leaving = {
+            endpoint: self._leaving.get(endpoint, now_ms)
+            for endpoint in endpoints
+            if endpoint.is_leaving
+        }
         self._log_changes(by_service)
         self._by_service = by_service
         ids = {endpoint.id for endpoint in endpoints}
@@ -254,9 +269,23 @@
         )
 
     def _candidates(self, query: EndpointQuery) -> list[Endpoint]:
-        """Return the endpoints that a request may be sent to."""
+        """Return the endpoints that a request may be sent to.
+
+        If a required version has only leaving ones, these are returned while
+        their grace lasts.
+        """
         listed = self._by_service.get(query.service, ())
-        return list(filter(query.allows, listed))
+        staying = list(filter(query.allows, listed))
+        if staying or not query.requires_version:
+            return staying
+        oldest_ms = self._clock.now_ms() - self._leaving_grace_ms
+        return [
+            endpoint
+            for endpoint, since_ms in self._leaving.items()
+            if endpoint.service == query.service
+            and query.allows(endpoint)
+            and since_ms > oldest_ms
+        ]
 
     def _warm_id(self, query: EndpointQuery) -> str | None:
         """Return the endpoint that is expected to be warm for a request."""
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -68,6 +68,9 @@
 # Lower bound of this instance's share, which applies even where an endpoint
 # accepts fewer connections than there are entry instances.
 _MIN_CONNECTIONS = 2
+# Share of the time in which a leaving endpoint must stop being sent requests; the
+# rest passes until this instance learns that it is leaving.
+_LEAVING_GRACE_SHARE = 0.3
 _MS_PER_SECOND = 1_000
 _STATUS_READY = 200
 _STATUS_NOT_READY = 503
@@ -334,7 +337,12 @@
 ) -> EndpointSelector:
     """Create the endpoint selector for the location in the settings."""
     return EndpointSelector(
-        cfg.availability_zone, cfg.region, cfg.regions, clock, rng
+        cfg.availability_zone,
+        cfg.region,
+        cfg.regions,
+        clock,
+        rng,
+        leaving_grace_ms=int(_LEAVING_GRACE_SHARE * cfg.bounds.drain_ms),
     )
 
 
--- a/tests/forwarding/test_selector.py
+++ b/tests/forwarding/test_selector.py
@@ -219,6 +219,34 @@
     assert selector.rank(query)[0] == new
 
 
+def test_the_last_endpoints_of_a_version_serve_its_streams_a_little_longer() -> (
+    None
+):
+    clock = ManualClock()
+    old = endpoint('o', version='v1', is_leaving=True)
+    new = endpoint('n', version='v2')
+    selector = EndpointSelector(
+        AvailabilityZone('north'),
+        'east',
+        REGIONS,
+        clock,
+        random.Random(1),
+        leaving_grace_ms=900,
+    )
+    query = EndpointQuery(
+        service=build.MODEL, version='v1', requires_version=True
+    )
+    clock.advance(10_000)
+    selector.replace_endpoints((old, new))
+    assert chosen(selector) == 'n'
+    clock.advance(500)
+    selector.replace_endpoints((old, new))
+    assert selector.rank(query) == [old]
+    clock.advance(400)
+    assert selector.rank(query) == []
+    assert selector.lacks_version(query)
+
+
 def test_an_instance_without_a_list_does_not_say_that_a_version_has_gone() -> (
     None
 ):
