Refuse requests in flight at the end of the grace period

Cause: the server cancels the request's task, the cancellation leaves the gateway, and the web server answers 500 to what ends without a response. A trial that logs what leaves the gateway shows the CancelledError and the request.

Ruled out: an unexpected error of the gateway, which it would log; a 500 of an endpoint, which has a signature.

The role ends the requests itself now, before the server stops: 502 with the verdict that it may have run, and a stream that has begun stays incomplete. Both tests failed before, as there was nothing that ends requests.

--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -100,6 +100,16 @@
         self._clock = clock
         self._metrics = metrics
         self._buffers = BufferLimit()
+        self._scopes: set[anyio.CancelScope] = set()
+
+    def end_requests(self) -> None:
+        """End the requests in flight, as the process is about to exit.
+
+        Requests without a response are refused as possibly run; responses that
+        have started stay incomplete.
+        """
+        for scope in self._scopes:
+            scope.cancel()
 
     async def serve(
         self,
@@ -122,7 +132,7 @@
             inbound = self._codec.read_request(scope)
             inbound.started_ms = started_ms
             self._record_forged(inbound)
-            await self._handle(inbound, caller)
+            await self._handle_until_ended(inbound, caller)
         except CallError as exc:
             await self._refuse(inbound, exc.refusal, caller, started_ms)
         except EndpointError as exc:
@@ -146,6 +156,29 @@
         finally:
             self.in_flight -= 1
 
+    async def _handle_until_ended(
+        self, inbound: InboundRequest, caller: Caller
+    ) -> None:
+        """Handle a request unless ``end_requests`` is called.
+
+        Raises:
+            CallError: It was called, or the request failed.
+            EndpointError: The response was truncated.
+        """
+        scope = anyio.CancelScope()
+        self._scopes.add(scope)
+        with scope:
+            try:
+                await self._handle(inbound, caller)
+            finally:
+                self._scopes.discard(scope)
+        if scope.cancelled_caught:
+            raise CallError(
+                ErrorCode.SHUTTING_DOWN,
+                'the instance stops before the request has ended',
+                Verdict.MAY_HAVE_RUN,
+            )
+
     async def _handle(self, inbound: InboundRequest, caller: Caller) -> None:
         await self._wait_for_table(inbound)
         route = self._find_route(inbound)
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -169,6 +169,7 @@
             )
             await context.clock.sleep_ms(_BALANCER_DELAY_MS)
             await self._drain()
+            await self._end_requests()
             # Without this the server would wait for the remaining requests
             # until the process is killed.
             server.force_exit = self._is_busy()
@@ -196,6 +197,17 @@
         while context.clock.now_ms() < until_ms and self._is_busy():
             await context.clock.sleep_ms(_DRAIN_POLL_MS)
 
+    async def _end_requests(self) -> None:
+        """End the requests that are still in flight, and send their refusals."""
+        if not self._gateway.in_flight:
+            return
+        logger.warning(
+            'The grace period is over; ending the requests in flight.',
+            under_way=self._gateway.in_flight,
+        )
+        self._gateway.end_requests()
+        await self._context.clock.sleep_ms(_DRAIN_POLL_MS)
+
     def _is_busy(self) -> bool:
         return bool(self._gateway.in_flight or self._turns.pending_settlements)
 
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -675,6 +675,50 @@
     run(NON_IDEMPOTENT, scenario, complete)
 
 
+async def ended_request(
+    harness: Harness, is_under_way: Callable[[FakeCaller], bool]
+) -> FakeCaller:
+    """Return the caller of a request that the stopping instance ends.
+
+    Args:
+        harness: The gateway.
+        is_under_way: Returns whether the request has come as far as it should.
+    """
+    caller = FakeCaller()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(lambda: harness.request('a1', caller=caller))
+        while not is_under_way(caller):
+            await anyio.sleep(0.001)
+        harness.gateway.end_requests()
+    return caller
+
+
+def test_a_request_in_flight_at_the_exit_is_refused_as_possibly_run() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        caller = await ended_request(harness, lambda _: bool(fakes[0].received))
+        assert caller.status == 502
+        assert caller.is_complete
+        assert harness.gateway.in_flight == 0
+
+    run(
+        build.route(kind=RouteKind.NON_IDEMPOTENT, timeout_ms=60_000),
+        scenario,
+        unresponsive,
+    )
+
+
+def test_a_stream_in_flight_at_the_exit_stays_incomplete() -> None:
+    def stuck(request: ReceivedRequest) -> list[bytes | None]:
+        return [*list(stream_to(request, b'one', b'two'))[:2]]
+
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        caller = await ended_request(harness, lambda caller: bool(caller.body))
+        assert caller.status == 200
+        assert not caller.is_complete
+
+    run(build.route(timeout_ms=60_000), scenario, stuck)
+
+
 def test_turn_is_released_if_the_caller_goes_before_its_token_comes() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         async def never(workspace: str) -> None:
