Release a turn whose caller goes before its request is written

Cause, suspected: a turn is opened, its reservation committed, and its caller goes before the request is written, while a connection is being opened. The turn counted as possibly run, so that its reservation stayed and the program's next turns had no room, though no endpoint ever got one.

Ruled out: reservations of lost entries (no turn of these programs was opened and not sent), programs that have spent their budget (these have budgets of 572 and 858, and no turn under way).

A call knows now whether its request has been written in the current attempt; one that ends before, and that no earlier attempt may have run, releases its turn. test_turn_is_released_if_the_caller_goes_before_it_was_sent failed before; test_turn_stays_reserved_if_the_caller_goes_after_it_was_sent guards the other side. A log line says whether a turn was released.

--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -12,6 +12,7 @@
 from acaciaramp.forwarding.selector import EndpointQuery
 from acaciaramp.ids import ServiceName, WorkspaceId
 from acaciaramp.routing.model import Route, RouteKind
+from acaciaramp.verdicts import Verdict
 
 _DIGEST_BYTES = 12
 
@@ -28,6 +29,7 @@
             process.
         turn: The opened turn; None for a request without one.
         runs: Number of attempts that may have executed the request.
+        is_sent: Whether the request was sent in the current attempt.
         endpoint: Endpoint of the last attempt; empty before the first.
         expected_origin: Probable origin of the stream that it begins; None if
             it begins none that may be resumed, or it is not known.
@@ -40,6 +42,7 @@
     deadline_ms: int
     turn: OpenedTurn | None = None
     runs: int = 0
+    is_sent: bool = False
     endpoint: str = ''
     expected_origin: StreamOrigin | None = None
 
@@ -108,6 +111,13 @@
         """Whether it may be retried after an attempt with unknown outcome."""
         return self.route.is_repeatable and self.runs < self.route.attempts
 
+    @property
+    def verdict(self) -> Verdict:
+        """Whether an endpoint may have executed it, if it ends now."""
+        if self.runs or self.is_sent:
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.NOT_RUN
+
     def digest(self) -> str:
         """Return a hash that equal requests of one workspace share."""
         text = b'\0'.join(
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -292,6 +292,7 @@
             call.inbound, endpoint, call.workspace, left_ms, len(call.body)
         )
         inbound = call.inbound
+        call.is_sent = True
         try:
             with self._clock.timeout(left_ms):
                 resp = await conn.send(
@@ -366,6 +367,7 @@
             self._selector.record_failure(endpoint, exc.failure.value)
         if exc.failure is Failure.CONNECTION_LOST:
             self._report_crash(call.digest(), endpoint)
+        call.is_sent = False
         if exc.verdict is not Verdict.NOT_RUN:
             call.runs += 1
         self._metrics.count(Counter.RETRIED, exc.failure)
@@ -394,21 +396,19 @@
 
 
 def _no_endpoint_error(call: Call) -> CallError:
-    verdict = Verdict.MAY_HAVE_RUN if call.runs else Verdict.NOT_RUN
     return CallError(
         ErrorCode.NO_ENDPOINT,
         f'no endpoint of service "{call.service}" takes the request',
-        verdict,
+        call.verdict,
         retry_after_ms=_RETRY_AFTER_MS,
     )
 
 
 def _no_slot_error(call: Call, wait_ms: int) -> CallError:
-    verdict = Verdict.MAY_HAVE_RUN if call.runs else Verdict.NOT_RUN
     return CallError(
         ErrorCode.ENDPOINT_LIMITED,
         f'all endpoints of service "{call.service}" limit their requests; the '
         f'next one is accepted in {wait_ms} ms',
-        verdict,
+        call.verdict,
         retry_after_ms=wait_ms,
     )
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -324,7 +324,7 @@
             self._turns.settle_failed(call, exc.refusal.verdict)
             raise
         except BaseException:
-            self._turns.settle_failed(call, Verdict.MAY_HAVE_RUN)
+            self._turns.settle_failed(call, call.verdict)
             raise
         self._record_response(call, relay)
 
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -117,7 +117,7 @@
             raise CallError(
                 ErrorCode.HOME_UNREACHABLE,
                 f'the ledger does not answer: {exc}',
-                Verdict.MAY_HAVE_RUN if call.runs else Verdict.NOT_RUN,
+                call.verdict,
                 retry_after_ms=LEDGER_RETRY_AFTER_MS,
             ) from None
 
@@ -158,7 +158,16 @@
         If an endpoint may have run it, the number of generated tokens is
         unknown and the whole reservation stays used.
         """
-        if call.turn is not None and verdict is Verdict.NOT_RUN:
+        if call.turn is None:
+            return
+        is_released = verdict is Verdict.NOT_RUN
+        logger.info(
+            'A turn ended without a whole response.',
+            attempt=call.inbound.attempt,
+            program=call.inbound.turn.program,
+            is_released=is_released,
+        )
+        if is_released:
             self._turns.release(call.turn.plan)
 
     def _generated_tokens(self, call: Call, relay: Relay) -> int:
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -23,7 +23,7 @@
 from acaciaramp.coordination.codec import encode
 from acaciaramp.coordination.slots import SlotOwner
 from acaciaramp.errors import CallError, ErrorCode
-from acaciaramp.forwarding.connections import ConnectionPool
+from acaciaramp.forwarding.connections import Connection, ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
@@ -111,6 +111,7 @@
         quota: Rate limiter; without limits unless a test configures it.
         slots: Owner of the slots at limited endpoints.
         limits: Request limits that endpoints state.
+        connections: Connections to the endpoints.
         has_owner: Whether the owner of the slots replies.
         crashes: Digests of requests that were reported as crashes.
         metrics: Metrics of the gateway.
@@ -137,6 +138,7 @@
         self.selector = EndpointSelector(
             AvailabilityZone('north'), 'east', {}, clock, random.Random(1)
         )
+        self.connections = ConnectionPool(clock, lambda _: None)
         self.quota = Quota(_grant_no_tokens, 500, clock)
         self.slots = SlotOwner(clock)
         self.limits = EndpointLimits(self._request_slot, clock)
@@ -157,7 +159,7 @@
                 codec,
                 self.selector,
                 self.limits,
-                ConnectionPool(clock, lambda _: None),
+                self.connections,
                 clock,
                 self.metrics,
                 lambda digest, _: self.crashes.append(digest),
@@ -740,6 +742,47 @@
     run(RETAINED, scenario, complete)
 
 
+async def abandoned_request(
+    harness: Harness, is_under_way: Callable[[], bool]
+) -> None:
+    """Send a turn whose caller goes once a condition holds."""
+    caller = FakeCaller()
+    async with anyio.create_task_group() as tasks:
+
+        async def send() -> None:
+            await harness.request('a1', *TURN_HEADERS, caller=caller)
+
+        tasks.start_soon(send)
+        while not is_under_way():
+            await anyio.sleep(0.001)
+        caller.disconnected.set()
+    await anyio.wait_all_tasks_blocked()
+
+
+def test_turn_is_released_if_the_caller_goes_before_it_was_sent() -> None:
+    acquiring: list[str] = []
+
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        async def never(endpoint: Endpoint) -> Connection:
+            acquiring.append(endpoint.id)
+            await anyio.sleep_forever()
+            raise AssertionError
+
+        harness.connections.acquire = never  # type: ignore[method-assign]
+        await abandoned_request(harness, lambda: bool(acquiring))
+        assert [item.tokens for item in harness.ledger.closed] == [0]
+
+    run(RETAINED, scenario, complete)
+
+
+def test_turn_stays_reserved_if_the_caller_goes_after_it_was_sent() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        await abandoned_request(harness, lambda: bool(fakes[0].received))
+        assert not harness.ledger.closed
+
+    run(RETAINED, scenario, unresponsive)
+
+
 def test_token_of_a_turn_that_may_not_begin_is_returned() -> None:
     granted: list[str] = []
 
