Split the choice of endpoints from their use

Forwarder chose endpoints, waited for slots, recorded origins and sent requests, in 440 lines. EndpointChooser does the first three now; the gateway asks it about resumed streams.

--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -49,16 +49,12 @@
     @property
     def begins_stream(self) -> bool:
         """Whether it begins a stream that another request may resume."""
-        is_stream = self.route.kind is RouteKind.STREAMING
-        is_resumable = is_stream and self.route.is_resumable
-        return is_resumable and self.inbound.resumed is None
+        return self._is_resumable_stream and self.inbound.resumed is None
 
     @property
     def resumes_stream(self) -> bool:
         """Whether it resumes the stream of an earlier request."""
-        is_stream = self.route.kind is RouteKind.STREAMING
-        is_resumable = is_stream and self.route.is_resumable
-        return is_resumable and self.inbound.resumed is not None
+        return self._is_resumable_stream and self.inbound.resumed is not None
 
     @property
     def origin(self) -> StreamOrigin | None:
@@ -128,3 +124,8 @@
             )
         )
         return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
+
+    @property
+    def _is_resumable_stream(self) -> bool:
+        is_stream = self.route.kind is RouteKind.STREAMING
+        return is_stream and self.route.is_resumable
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import TYPE_CHECKING
 
 import anyio
 
-from acaciaramp.conversations.messages import StreamOrigin
 from acaciaramp.endpoints.failures import EndpointError, Failure
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import BadInput, Counter, Timer
@@ -15,11 +13,12 @@
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Collection
+    from collections.abc import Callable
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.call import Call
+    from acaciaramp.forwarding.chooser import EndpointChooser
     from acaciaramp.forwarding.connections import Connection, ConnectionPool
     from acaciaramp.forwarding.endpoint_limits import EndpointLimits
     from acaciaramp.forwarding.messages import Codec, ResponseHead
@@ -29,14 +28,6 @@
 
 logger = get_logger('forwarding')
 
-# Once every endpoint has refused a request or failed, all are tried again. This
-# is done within this fraction of the request's time limit.
-_RETRY_WINDOW_FRACTION = 0.5
-_RETRY_PAUSE_MS = 40
-_RETRY_AFTER_MS = 300
-# Fraction of the latency objective that a request that starts a program waits for
-# a slot at a limited endpoint.
-_NEW_PROGRAM_WAIT_FRACTION = 0.25
 # Statuses that mean to a caller that its request was not executed.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -47,61 +38,35 @@
     def __init__(
         self,
         codec: Codec,
+        chooser: EndpointChooser,
         selector: EndpointSelector,
         limits: EndpointLimits,
         connections: ConnectionPool,
         clock: Clock,
         metrics: Metrics,
         report_crash: Callable[[str, Endpoint], None],
-        record_origin: Callable[[Call, StreamOrigin], Awaitable[None]],
     ) -> None:
         """Create the forwarder.
 
         Args:
             codec: Reads and writes the headers of the platform.
-            selector: Selects endpoints.
+            chooser: Chooses the endpoint of each attempt.
+            selector: Is told of the load and the outcome of requests.
             limits: Request limits that endpoints state.
             connections: Pool of connections to endpoints.
             clock: Source of time.
             metrics: Counts retries and invalid responses.
             report_crash: Called with the digest of a request and the endpoint
                 whose connection failed during the request.
-            record_origin: Commits the origin of the stream that a request
-                begins; raises ``CallError``.
         """
         self._codec = codec
+        self._chooser = chooser
         self._selector = selector
         self._limits = limits
         self._connections = connections
         self._clock = clock
         self._metrics = metrics
         self._report_crash = report_crash
-        self._record_origin = record_origin
-
-    def expected_origin(self, call: Call) -> StreamOrigin | None:
-        """Return the probable origin of the stream that a request begins.
-
-        None if it begins none that may be resumed, or if no endpoint is known.
-        """
-        if not call.begins_stream:
-            return None
-        ranked = self._selector.rank(call.endpoint_query)
-        return _origin(ranked[0]) if ranked else None
-
-    def check_resumption(self, call: Call) -> None:
-        """Check that some endpoint can go on with the stream of a request.
-
-        Raises:
-            CallError: The version that began the stream is not listed any more.
-        """
-        if call.resumes_stream and self._selector.lacks_version(
-            call.endpoint_query
-        ):
-            raise CallError(
-                ErrorCode.STREAM_VERSION_GONE,
-                f'no endpoint of service "{call.service}" has the version that '
-                'began the stream',
-            )
 
     async def forward(self, call: Call, relay: Relay) -> None:
         """Forward a request and relay its response.
@@ -119,7 +84,7 @@
         excluded: set[str] = set()
         is_done = False
         while not is_done:
-            endpoint = await self._next_endpoint(call, excluded)
+            endpoint = await self._chooser.next_endpoint(call, excluded)
             try:
                 await self._try_endpoint(call, endpoint, relay)
             except EndpointError as exc:
@@ -131,113 +96,6 @@
             else:
                 is_done = True
 
-    async def _next_endpoint(self, call: Call, excluded: set[str]) -> Endpoint:
-        """Return the next endpoint; the origin of its stream is committed.
-
-        A caller whose connection is lost may resume the stream through another
-        instance, so that the origin is stored before the first event.
-
-        Raises:
-            CallError: No endpoint is available, or the origin could not be
-                committed.
-        """
-        endpoint = await self._select_endpoint(call, excluded)
-        origin = _origin(endpoint)
-        if call.begins_stream and call.origin != origin:
-            await self._record_origin(call, origin)
-        return endpoint
-
-    async def _select_endpoint(
-        self, call: Call, excluded: set[str]
-    ) -> Endpoint:
-        """Return the next endpoint; once all are excluded, retry them all.
-
-        Raises:
-            CallError: No endpoint is available within the retry window, or no
-                endpoint can go on with the stream that the request resumes.
-        """
-        while True:
-            self.check_resumption(call)
-            endpoint = await self._choose_endpoint(call, excluded)
-            if endpoint is not None:
-                return endpoint
-            if not self._retry_window_ms(call):
-                raise _no_endpoint_error(call)
-            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
-            excluded.clear()
-
-    async def _choose_endpoint(
-        self, call: Call, excluded: Collection[str]
-    ) -> Endpoint | None:
-        """Return the best endpoint that takes the request, None without one.
-
-        An endpoint that limits its requests is chosen if it has a free slot. The
-        request waits for one only if every endpoint limits its requests.
-
-        Raises:
-            CallError: All endpoints limit their requests, and none has a slot
-                in time.
-        """
-        ranked = self._selector.rank(call.endpoint_query, excluded)
-        limited = list(itertools.takewhile(self._limits.is_limited, ranked))
-        others = ranked[len(limited) :]
-        endpoint: Endpoint | None = None
-        if limited:
-            endpoint = await self._claim_slot(
-                call, limited, is_last_resort=not others and not excluded
-            )
-        if endpoint is None and others:
-            return others[0]
-        return endpoint
-
-    async def _claim_slot(
-        self, call: Call, limited: list[Endpoint], *, is_last_resort: bool
-    ) -> Endpoint | None:
-        """Return a limited endpoint when its slot has come, None without a slot.
-
-        Args:
-            call: The request.
-            limited: Limited endpoints, preferred ones first.
-            is_last_resort: Whether the request has no other choice, so that it
-                waits for a slot.
-
-        Raises:
-            CallError: It has no other choice, and none has a slot in time.
-        """
-        wait_ms = self._longest_slot_wait_ms(call) if is_last_resort else 0
-        try:
-            slot = await self._limits.reserve(limited, wait_ms)
-        except CallError as exc:
-            logger.warning(
-                'The owner of the slots of limited endpoints does not reply.',
-                attempt=call.inbound.attempt,
-                reason=exc,
-            )
-            return None
-        if slot.endpoint is None:
-            if is_last_resort:
-                raise _no_slot_error(call, slot.wait_ms)
-            return None
-        await self._clock.sleep_ms(slot.wait_ms)
-        endpoint = next(item for item in limited if item.id == slot.endpoint)
-        return endpoint if self._selector.is_listed(endpoint) else None
-
-    def _longest_slot_wait_ms(self, call: Call) -> int:
-        """Return how long a request may wait for a slot, milliseconds.
-
-        A request that starts a program is refused early, so that its caller can
-        retry, and running programs get the slots.
-        """
-        if call.starts_program:
-            return int(_NEW_PROGRAM_WAIT_FRACTION * call.route.objective_ms)
-        return self._retry_window_ms(call)
-
-    def _retry_window_ms(self, call: Call) -> int:
-        """Return the rest of the time for selecting endpoints, milliseconds."""
-        started_ms = call.inbound.started_ms
-        window_ms = _RETRY_WINDOW_FRACTION * (call.deadline_ms - started_ms)
-        return max(0, int(started_ms + window_ms - self._clock.now_ms()))
-
     async def _try_endpoint(
         self, call: Call, endpoint: Endpoint, relay: Relay
     ) -> None:
@@ -384,31 +242,8 @@
         raise _unknown_outcome_error(exc) from None
 
 
-def _origin(endpoint: Endpoint) -> StreamOrigin:
-    return StreamOrigin(endpoint.service, endpoint.version)
-
-
 def _unknown_outcome_error(exc: EndpointError) -> CallError:
     code = ErrorCode.OUTCOME_UNKNOWN
     if exc.failure is Failure.TIMEOUT:
         code = ErrorCode.DEADLINE_EXCEEDED
     return CallError(code, str(exc), exc.verdict)
-
-
-def _no_endpoint_error(call: Call) -> CallError:
-    return CallError(
-        ErrorCode.NO_ENDPOINT,
-        f'no endpoint of service "{call.service}" takes the request',
-        call.verdict,
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
-
-
-def _no_slot_error(call: Call, wait_ms: int) -> CallError:
-    return CallError(
-        ErrorCode.ENDPOINT_LIMITED,
-        f'all endpoints of service "{call.service}" limit their requests; the '
-        f'next one is accepted in {wait_ms} ms',
-        call.verdict,
-        retry_after_ms=wait_ms,
-    )
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -25,6 +25,7 @@
     from acaciaramp.clock import Clock
     from acaciaramp.errors import Refusal
     from acaciaramp.forwarding.caller import Receive, Send
+    from acaciaramp.forwarding.chooser import EndpointChooser
     from acaciaramp.forwarding.forwarder import Forwarder
     from acaciaramp.forwarding.messages import Codec, InboundRequest
     from acaciaramp.forwarding.turns import TurnLifecycle
@@ -70,6 +71,7 @@
         router: Router,
         quota: Quota,
         turns: TurnLifecycle,
+        chooser: EndpointChooser,
         forwarder: Forwarder,
         clock: Clock,
         metrics: Metrics,
@@ -82,6 +84,7 @@
             router: Active routing table.
             quota: Rate limiter of the workspaces.
             turns: Opens and settles the turns of calls.
+            chooser: Chooses endpoints.
             forwarder: Forwards requests to endpoints.
             clock: Source of time.
             metrics: Counts responses, refusals and invalid input.
@@ -96,6 +99,7 @@
         self._router = router
         self._quota = quota
         self._turns = turns
+        self._chooser = chooser
         self._forwarder = forwarder
         self._clock = clock
         self._metrics = metrics
@@ -304,7 +308,7 @@
             deadline_ms=inbound.started_ms + _time_limit_ms(inbound, route),
         )
         self._check_quarantine(call)
-        call.expected_origin = self._forwarder.expected_origin(call)
+        call.expected_origin = self._chooser.expected_origin(call)
         prefetched = self._start_prefetch(call, tasks)
         try:
             call.turn = await self._turns.open(call)
@@ -343,7 +347,7 @@
                 f'service "{call.service}", which began the stream, is no target '
                 'of the route any more',
             )
-        self._forwarder.check_resumption(call)
+        self._chooser.check_resumption(call)
 
     def _start_prefetch(self, call: Call, tasks: TaskGroup) -> anyio.Event:
         """Request a token while the ledger opens the turn of a call.
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -19,6 +19,7 @@
     SlotRequest,
 )
 from acaciaramp.errors import CallError
+from acaciaramp.forwarding.chooser import EndpointChooser
 from acaciaramp.forwarding.connections import ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
@@ -113,20 +114,27 @@
         lifecycle = TurnLifecycle(
             self._turns, self._router, context.clock, context.metrics
         )
+        chooser = EndpointChooser(
+            self._selector,
+            self._limits,
+            context.clock,
+            lifecycle.record_origin,
+        )
         self._gateway = Gateway(
             codec=adapter.codec,
             router=self._router,
             quota=self._quota,
             turns=lifecycle,
+            chooser=chooser,
             forwarder=Forwarder(
                 adapter.codec,
+                chooser,
                 self._selector,
                 self._limits,
                 self._connections,
                 context.clock,
                 context.metrics,
                 self._report_crash,
-                lifecycle.record_origin,
             ),
             clock=context.clock,
             metrics=context.metrics,
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -23,6 +23,7 @@
 from acaciaramp.coordination.codec import encode
 from acaciaramp.coordination.slots import SlotOwner
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.forwarding.chooser import EndpointChooser
 from acaciaramp.forwarding.connections import Connection, ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
@@ -150,20 +151,24 @@
             clock,
             self.metrics,
         )
+        chooser = EndpointChooser(
+            self.selector, self.limits, clock, lifecycle.record_origin
+        )
         self.gateway = Gateway(
             codec=codec,
             router=self.router,
             quota=self.quota,
             turns=lifecycle,
+            chooser=chooser,
             forwarder=Forwarder(
                 codec,
+                chooser,
                 self.selector,
                 self.limits,
                 self.connections,
                 clock,
                 self.metrics,
                 lambda digest, _: self.crashes.append(digest),
-                lifecycle.record_origin,
             ),
             clock=clock,
             metrics=self.metrics,
