Split the admission of calls from the gateway

The gateway waited for tokens and held their constants beside routing, bodies and responses. Admission does that now; the gateway releases the turn of a call that is not admitted, as before.

--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -12,25 +12,22 @@
 from acaciaramp.forwarding.call import Call
 from acaciaramp.forwarding.caller import Caller
 from acaciaramp.forwarding.relay import Relay
-from acaciaramp.limits.quota import Patience
 from acaciaramp.metrics.names import BadInput, Counter, Timer
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from anyio.abc import TaskGroup
 
     from acaciaramp.clock import Clock
     from acaciaramp.errors import Refusal
+    from acaciaramp.forwarding.admission import Admission
     from acaciaramp.forwarding.caller import Receive, Send
     from acaciaramp.forwarding.chooser import EndpointChooser
     from acaciaramp.forwarding.forwarder import Forwarder
     from acaciaramp.forwarding.messages import Codec, InboundRequest
     from acaciaramp.forwarding.turns import TurnLifecycle
     from acaciaramp.ids import WorkspaceId
-    from acaciaramp.limits.quota import Quota
     from acaciaramp.metrics.client import Metrics
     from acaciaramp.routing.model import Route
     from acaciaramp.routing.router import Router
@@ -43,15 +40,6 @@
 # Fraction of the caller's time limit for that wait: a refusal would cost the
 # caller one of its attempts.
 _TABLE_WAIT_FRACTION = 0.8
-# Longest wait of a call that starts a program for a token of the rate limit. A
-# refusal should arrive within a quarter of the latency objective; this is less.
-_NEW_PROGRAM_WAIT_MS = 70
-# Fraction of its remaining time that a request of a running program may wait for
-# such a token: a refusal would end the program.
-_RUNNING_PROGRAM_WAIT_FRACTION = 0.6
-# Fraction of its remaining time that any request may wait for the next owner of
-# the rates.
-_OWNER_WAIT_FRACTION = 0.4
 
 
 class Gateway:
@@ -69,35 +57,31 @@
         *,
         codec: Codec,
         router: Router,
-        quota: Quota,
+        admission: Admission,
         turns: TurnLifecycle,
         chooser: EndpointChooser,
         forwarder: Forwarder,
         clock: Clock,
         metrics: Metrics,
-        return_token: Callable[[WorkspaceId], None],
     ) -> None:
         """Create the gateway.
 
         Args:
             codec: Reads and writes the headers of the platform.
             router: Active routing table.
-            quota: Rate limiter of the workspaces.
+            admission: Admits calls within the rates of their workspaces.
             turns: Opens and settles the turns of calls.
             chooser: Chooses endpoints.
             forwarder: Forwards requests to endpoints.
             clock: Source of time.
             metrics: Counts responses, refusals and invalid input.
-            return_token: Returns an unused token of a workspace's rate to its
-                owner.
         """
-        self._return_token = return_token
         self.is_stopping = False
         self.in_flight = 0
         self.quarantined: frozenset[str] = frozenset()
         self._codec = codec
         self._router = router
-        self._quota = quota
+        self._admission = admission
         self._turns = turns
         self._chooser = chooser
         self._forwarder = forwarder
@@ -309,16 +293,20 @@
         )
         self._check_quarantine(call)
         call.expected_origin = self._chooser.expected_origin(call)
-        prefetched = self._start_prefetch(call, tasks)
+        prefetched = self._admission.start_prefetch(call, tasks)
         try:
             call.turn = await self._turns.open(call)
             self._direct_resumption(call)
         except CallError:
             # A turn that may not begin uses no token of the rate.
             self._turns.settle_failed(call, Verdict.NOT_RUN)
-            await self._discard_prefetched(call, prefetched)
+            await self._admission.discard_prefetched(call, prefetched)
+            raise
+        try:
+            await self._admission.admit(call, prefetched)
+        except BaseException:
+            self._turns.settle_failed(call, Verdict.NOT_RUN)
             raise
-        await self._admit(call, prefetched)
         relay = Relay(
             call, caller, self._turns.make_before_finish(call), self._buffers
         )
@@ -349,72 +337,6 @@
             )
         self._chooser.check_resumption(call)
 
-    def _start_prefetch(self, call: Call, tasks: TaskGroup) -> anyio.Event:
-        """Request a token while the ledger opens the turn of a call.
-
-        Both are in other instances, which may be in another region.
-
-        Returns:
-            An event that is set when the request has ended.
-        """
-        ended = anyio.Event()
-        if call.workspace is None or not self._turns.needs_ledger(call):
-            ended.set()
-            return ended
-
-        async def prefetch(workspace: WorkspaceId) -> None:
-            await self._quota.prefetch(workspace)
-            ended.set()
-
-        tasks.start_soon(prefetch, call.workspace)
-        return ended
-
-    async def _discard_prefetched(
-        self, call: Call, prefetched: anyio.Event
-    ) -> None:
-        await prefetched.wait()
-        workspace = call.workspace
-        if workspace is not None and self._quota.pop_granted(workspace):
-            self._return_token(workspace)
-
-    async def _admit(self, call: Call, prefetched: anyio.Event) -> None:
-        """Wait for a token of the workspace's rate limit.
-
-        Args:
-            call: The call, whose turn is released if it gets none.
-            prefetched: Set when the token that was requested before has come.
-
-        Raises:
-            CallError: The workspace is over its rate limit.
-        """
-        if call.workspace is None:
-            return
-        started_ms = self._clock.now_ms()
-        try:
-            await prefetched.wait()
-            await self._quota.admit(call.workspace, self._patience(call))
-        except BaseException:
-            self._turns.settle_failed(call, Verdict.NOT_RUN)
-            raise
-        self._metrics.record_duration(
-            Timer.ADMISSION, self._clock.now_ms() - started_ms
-        )
-
-    def _patience(self, call: Call) -> Patience:
-        """Return how long a call may wait for a token of the rate limit.
-
-        A call that starts a program is refused early if there is no token, so
-        that its caller can retry; one of a running program may use most of its
-        remaining time. If the owner of the rates is lost, either waits for the
-        next one.
-        """
-        left_ms = call.deadline_ms - self._clock.now_ms()
-        owner_ms = int(_OWNER_WAIT_FRACTION * left_ms)
-        if call.starts_program:
-            return Patience(_NEW_PROGRAM_WAIT_MS, owner_ms)
-        token_ms = int(_RUNNING_PROGRAM_WAIT_FRACTION * left_ms)
-        return Patience(token_ms, max(token_ms, owner_ms))
-
     def _check_quarantine(self, call: Call) -> None:
         if self.quarantined and call.digest() in self.quarantined:
             raise CallError(
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -19,6 +19,7 @@
     SlotRequest,
 )
 from acaciaramp.errors import CallError
+from acaciaramp.forwarding.admission import Admission
 from acaciaramp.forwarding.chooser import EndpointChooser
 from acaciaramp.forwarding.connections import ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
@@ -123,7 +124,13 @@
         self._gateway = Gateway(
             codec=adapter.codec,
             router=self._router,
-            quota=self._quota,
+            admission=Admission(
+                self._quota,
+                lifecycle.needs_ledger,
+                self._return_token,
+                context.clock,
+                context.metrics,
+            ),
             turns=lifecycle,
             chooser=chooser,
             forwarder=Forwarder(
@@ -138,7 +145,6 @@
             ),
             clock=context.clock,
             metrics=context.metrics,
-            return_token=self._return_token,
         )
         self._readiness_port = split_address(cfg.readiness or '')[1]
         self._read_endpoints = adapter.make_reader(
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -23,6 +23,7 @@
 from acaciaramp.coordination.codec import encode
 from acaciaramp.coordination.slots import SlotOwner
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.forwarding.admission import Admission
 from acaciaramp.forwarding.chooser import EndpointChooser
 from acaciaramp.forwarding.connections import Connection, ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
@@ -157,7 +158,13 @@
         self.gateway = Gateway(
             codec=codec,
             router=self.router,
-            quota=self.quota,
+            admission=Admission(
+                self.quota,
+                lifecycle.needs_ledger,
+                self.returned.append,
+                clock,
+                self.metrics,
+            ),
             turns=lifecycle,
             chooser=chooser,
             forwarder=Forwarder(
@@ -172,7 +179,6 @@
             ),
             clock=clock,
             metrics=self.metrics,
-            return_token=self.returned.append,
         )
 
     async def _request_slot(self, req: SlotRequest) -> SlotReply:
