Count a stream without a program as one that starts nothing long

Such a stream without a program is opened at the ledger since then, whose reply does not call it new, so that it would wait for a token or a slot as long as a turn of a running program.

A turn that belongs to no program and continues none counts as new again. test_running_programs_wait_longer_for_a_token, now also for a resumable route, failed before.

--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -74,6 +74,11 @@
         has_stream = self.origin is not None or self.resumes is not None
         return self._has_budget or has_stream or self.previous is not None
 
+    @property
+    def belongs_to_program(self) -> bool:
+        """Whether it is a turn of a program or continues a retained turn."""
+        return self.program is not None or self.previous is not None
+
     def reservation(self) -> Reservation | None:
         """Return the reservation of the turn, None without a budget."""
         if self.program is None or self.budget is None:
@@ -215,7 +220,7 @@
         return OpenedTurn(
             plan,
             chain,
-            is_new=reply.is_new,
+            is_new=reply.is_new or not plan.belongs_to_program,
             endpoint=reply.endpoint,
             origin=plan.origin if plan.resumes is None else reply.origin,
         )
--- a/tests/coordination/test_leader.py
+++ b/tests/coordination/test_leader.py
@@ -69,12 +69,14 @@
         group: Its replica.
         coordinator: The coordinator under test.
         endpoints: Content of the platform's list; None if it cannot be read.
+        metrics: Metrics of the coordinator.
     """
 
     def __init__(self) -> None:
         """Create the instance; it does not lead yet."""
         clock = SystemClock()
         self.endpoints: tuple[Endpoint, ...] | None = ()
+        self.metrics = Metrics()
         state_machine = ControlStateMachine()
         self.group = Group(
             me=Member(InstanceId('c-1'), '0'),
@@ -94,7 +96,7 @@
             clock=clock,
             read_endpoints=self._read_endpoints,
             decode_table=_decode_table,
-            metrics=Metrics(),
+            metrics=self.metrics,
             target_voters=3,
             rate_window_ms=200,
             list_period_ms=100,
--- a/tests/coordination/test_slots.py
+++ b/tests/coordination/test_slots.py
@@ -4,10 +4,19 @@
 
 import random
 
+import anyio
+import pytest
+
 from acaciaramp.clock import ManualClock
-from acaciaramp.coordination.messages import SlotRequest, StatedLimit
+from acaciaramp.coordination.messages import (
+    SlotReply,
+    SlotRequest,
+    StatedLimit,
+)
 from acaciaramp.coordination.slots import MAX_SLOT_WAIT_MS, SlotOwner
+from acaciaramp.errors import CallError
 from acaciaramp.ids import EndpointId
+from tests.coordination.test_leader import ControlInstance, run_with_leader
 
 ENDPOINT = EndpointId('e-1')
 SPAN_MS = 4_000
@@ -91,3 +100,30 @@
     owner.start()
     reply = owner.reserve(slot_request(stated(2), longest_wait_ms=0))
     assert (reply.endpoint, reply.wait_ms) == (None, 500)
+
+
+def test_the_leader_reserves_slots_at_limited_endpoints() -> None:
+    async def scenario(control: ControlInstance) -> None:
+        limit = stated(1)
+        endpoints: list[EndpointId | None] = []
+        for wait_ms in (1_000, 0):
+            req = SlotRequest((limit,), wait_ms)
+            reply = await control.coordinator.handle(req)
+            assert isinstance(reply, SlotReply)
+            endpoints.append(reply.endpoint)
+        assert endpoints == ['e-1', None]
+        assert control.metrics.counts['slot.requested.granted'] == 1
+        assert control.metrics.counts['slot.requested.none'] == 1
+
+    run_with_leader(scenario)
+
+
+def test_an_instance_that_does_not_lead_reserves_no_slots() -> None:
+    async def scenario() -> None:
+        limit = stated(20)
+        with pytest.raises(CallError, match='does not lead'):
+            await ControlInstance().coordinator.handle(
+                SlotRequest((limit,), 1_000)
+            )
+
+    anyio.run(scenario)
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -535,12 +535,19 @@
     ('headers', 'min_fraction', 'max_fraction'),
     [((), 0, 0.01), (((b'x-program-id', b'p'),), 0.5, 0.6)],
 )
+@pytest.mark.parametrize(
+    'route',
+    [
+        build.route(kind=RouteKind.NON_IDEMPOTENT, timeout_ms=60_000),
+        build.route(is_resumable=True, timeout_ms=60_000),
+    ],
+)
 def test_running_programs_wait_longer_for_a_token(
+    route: Route,
     headers: tuple[tuple[bytes, bytes], ...],
     min_fraction: float,
     max_fraction: float,
 ) -> None:
-    route = build.route(kind=RouteKind.NON_IDEMPOTENT, timeout_ms=60_000)
     waits: list[int] = []
 
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
