Use slots of leaving endpoints that take resumed streams

What callers saw: nothing; found by reading. A resumed stream whose version has only leaving endpoints that limit their requests would claim a slot every 40 ms and use none, as the check after the wait knew only endpoints that stay.

The check asks the selector now whether the request may still be sent to the endpoint. test_a_slot_of_an_endpoint_that_has_left_meanwhile_is_not_used guards the other side (it fails without the check), and the selector's test of leaving endpoints covers the call.

--- a/src/acaciaramp/forwarding/chooser.py
+++ b/src/acaciaramp/forwarding/chooser.py
@@ -179,7 +179,8 @@
             return None
         await self._clock.sleep_ms(slot.wait_ms)
         endpoint = next(item for item in limited if item.id == slot.endpoint)
-        return endpoint if self._selector.is_listed(endpoint) else None
+        is_usable = self._selector.is_candidate(endpoint, call.endpoint_query)
+        return endpoint if is_usable else None
 
     def _longest_slot_wait_ms(self, call: Call) -> int:
         """Return how long a request may wait for a slot, milliseconds.
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -194,9 +194,9 @@
 
         return sorted(active or usable, key=rank)
 
-    def is_listed(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint is still listed and not leaving."""
-        return endpoint in self._by_service.get(endpoint.service, ())
+    def is_candidate(self, endpoint: Endpoint, query: EndpointQuery) -> bool:
+        """Return whether a request may be sent to an endpoint."""
+        return endpoint in self._candidates(query)
 
     def lacks_version(self, query: EndpointQuery) -> bool:
         """Return whether no listed endpoint of a service has the version.
--- a/tests/forwarding/test_endpoint_limits.py
+++ b/tests/forwarding/test_endpoint_limits.py
@@ -100,6 +100,22 @@
     run(PLAIN, scenario, complete)
 
 
+def test_a_slot_of_an_endpoint_that_has_left_meanwhile_is_not_used() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        (endpoint,) = harness.endpoints
+        harness.limits.record(endpoint, 5)
+
+        def reserve(req: SlotRequest) -> SlotReply:
+            harness.selector.replace_endpoints(())
+            return SlotReply(endpoint.id, 0)
+
+        harness.slots.reserve = reserve  # type: ignore[method-assign]
+        assert (await harness.request()).status == 503
+        assert not fakes[0].received
+
+    run(PLAIN, scenario, complete)
+
+
 def test_a_limit_ends_with_the_first_response_that_states_none() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         await harness.request('0')
--- a/tests/forwarding/test_selector.py
+++ b/tests/forwarding/test_selector.py
@@ -242,8 +242,10 @@
     clock.advance(500)
     selector.replace_endpoints((old, new))
     assert selector.rank(query) == [old]
+    assert selector.is_candidate(old, query)
     clock.advance(400)
     assert selector.rank(query) == []
+    assert not selector.is_candidate(old, query)
     assert selector.lacks_version(query)
 
 
