--- a/tests/forwarding/test_endless.py
+++ b/tests/forwarding/test_endless.py
@@ -24,7 +24,7 @@
 from tests import builders as build
 from tests.endless import EndlessServer, Prefix, head_of
 from tests.forwarding.endpoint import FakeCaller, ReceivedRequest
-from tests.forwarding.test_gateway import (
+from tests.forwarding.harness import (
     TURN_HEADERS,
     Harness,
     harness_with,
--- a/tests/forwarding/test_endpoint_limits.py
+++ b/tests/forwarding/test_endpoint_limits.py
@@ -18,7 +18,7 @@
     ScriptedEndpoint,
     response_to,
 )
-from tests.forwarding.test_gateway import Harness, complete, refused, run
+from tests.forwarding.harness import Harness, complete, refused, run
 
 if TYPE_CHECKING:
     from acaciaramp.coordination.messages import Endpoint
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -24,7 +24,7 @@
     ScriptedEndpoint,
     stream_to,
 )
-from tests.forwarding.test_gateway import Harness, refused, run, streamed
+from tests.forwarding.harness import Harness, refused, run, streamed
 
 if TYPE_CHECKING:
     from acaciaramp.coordination.messages import Endpoint
