--- a/src/acaciaramp/replication/follower.py
+++ b/src/acaciaramp/replication/follower.py
@@ -129,4 +129,10 @@
             )
             return False
         self._state.install_snapshot(_snapshot_decoder.decode(encoded))
+        logger.info(
+            'Installed a snapshot of the leader.',
+            instance=self._state.me.instance,
+            index=req.index,
+            size_bytes=len(encoded),
+        )
         return True
--- a/src/acaciaramp/replication/leader.py
+++ b/src/acaciaramp/replication/leader.py
@@ -25,6 +25,9 @@
 # A slow link between regions carries this much well within the timeout of a
 # request.
 _SNAPSHOT_PART_BYTES = 65_536
+# Commands are committed within a few round trips and disk syncs.
+_SLOW_COMMIT_MS = 200
+_SLOW_COMMIT_LOG_PERIOD_MS = 1_000
 
 
 class Leader:
@@ -48,6 +51,7 @@
         self._state = state
         self._request = request
         self._first_own_index = 0
+        self._slow_commit_logged_ms = 0
         self._tasks: TaskGroup | None = None
 
     @property
@@ -104,7 +108,7 @@
         is_leader = state.role is Role.LEADER and not self.is_transferring
         if not is_leader or state.leader_scope is None:
             raise NotLeaderError(state.leader)
-        proposal = Proposal(state.term)
+        proposal = Proposal(state.term, state.clock.now_ms())
         index = state.log.last_index + 1
         state.pending[index] = proposal
         self._append(msgs.Entry(state.term, kind, payload))
@@ -171,13 +175,44 @@
         """Step down once no majority has replied for two election timeouts."""
         state = self._state
         while True:
+            due_ms = state.clock.now_ms() + state.timing.heartbeat_ms
             await state.clock.sleep_ms(state.timing.heartbeat_ms)
+            self._log_slow_commits(late_ms=state.clock.now_ms() - due_ms)
             since_ms = state.clock.now_ms() - 2 * state.timing.election_ms
             members = state.log.members()
             if not self.progress.has_majority_contact(members, since_ms):
                 state.step_down(state.term)
                 return
 
+    def _log_slow_commits(self, late_ms: int) -> None:
+        """Log what proposals wait for if the oldest one waits long.
+
+        Args:
+            late_ms: How late the caller's timer fired; tells a process without
+                time on its processor from members that reply late.
+        """
+        state = self._state
+        now_ms = state.clock.now_ms()
+        oldest = next(iter(state.pending.values()), None)
+        if oldest is None or now_ms - oldest.proposed_ms < _SLOW_COMMIT_MS:
+            return
+        if now_ms - self._slow_commit_logged_ms < _SLOW_COMMIT_LOG_PERIOD_MS:
+            return
+        self._slow_commit_logged_ms = now_ms
+        last_index = state.log.last_index
+        logger.warning(
+            'Commands wait long for their commit.',
+            instance=state.me.instance,
+            pending=len(state.pending),
+            waited_ms=now_ms - oldest.proposed_ms,
+            late_ms=late_ms,
+            unsynced=last_index - self.progress.synced_index,
+            behind={
+                instance: last_index - peer.match_index
+                for instance, peer in self.progress.peers.items()
+            },
+        )
+
     async def _replicate(self, instance: InstanceId, peer: Peer) -> None:
         """Replicate the log to an instance while it is a member.
 
@@ -206,7 +241,9 @@
         sent_ms = state.clock.now_ms()
         term = state.term
         try:
-            reply = await self._request(instance, self._next_request(peer))
+            reply = await self._request(
+                instance, self._next_request(instance, peer)
+            )
         except PeerError:
             return False
         if reply.term > state.term:
@@ -216,12 +253,12 @@
         return True
 
     def _next_request(
-        self, peer: Peer
+        self, instance: InstanceId, peer: Peer
     ) -> msgs.AppendRequest | msgs.SnapshotPart:
         state = self._state
         previous_index = peer.next_index - 1
         if previous_index < state.log.snapshot.index:
-            return self._snapshot_part(peer)
+            return self._snapshot_part(instance, peer)
         return msgs.AppendRequest(
             term=state.term,
             leader=state.me.instance,
@@ -231,9 +268,20 @@
             commit=state.commit,
         )
 
-    def _snapshot_part(self, peer: Peer) -> msgs.SnapshotPart:
+    def _snapshot_part(
+        self, instance: InstanceId, peer: Peer
+    ) -> msgs.SnapshotPart:
         state = self._state
+        is_new = not peer.has_encoded(state.log.snapshot)
         encoded = peer.encoded_snapshot(state.log.snapshot)
+        if is_new:
+            logger.info(
+                'A member lacks entries that are compacted; sending it a snapshot.',
+                member=instance,
+                next_index=peer.next_index,
+                index=state.log.snapshot.index,
+                size_bytes=len(encoded),
+            )
         offset = peer.snapshot_offset
         return msgs.SnapshotPart(
             term=state.term,
--- a/src/acaciaramp/replication/progress.py
+++ b/src/acaciaramp/replication/progress.py
@@ -41,12 +41,16 @@
         self._encoded_index = 0
         self._encoded = b''
 
+    def has_encoded(self, snapshot: Snapshot) -> bool:
+        """Return whether the transfer of a snapshot has begun."""
+        return self._encoded_index == snapshot.index
+
     def encoded_snapshot(self, snapshot: Snapshot) -> bytes:
         """Return the encoded snapshot, which is cached for all its parts.
 
         A newer snapshot than the cached one restarts the transfer.
         """
-        if self._encoded_index != snapshot.index:
+        if not self.has_encoded(snapshot):
             self._encoded = msgspec.msgpack.encode(snapshot)
             self._encoded_index = snapshot.index
             self.snapshot_offset = 0
--- a/src/acaciaramp/replication/state.py
+++ b/src/acaciaramp/replication/state.py
@@ -52,14 +52,20 @@
 
 
 class Proposal:
-    """A proposed entry that is not applied yet."""
+    """A proposed entry that is not applied yet.
 
-    def __init__(self, term: int) -> None:
+    Attributes:
+        proposed_ms: When it was proposed, on the replica's clock.
+    """
+
+    def __init__(self, term: int, proposed_ms: int) -> None:
         """Create a proposal.
 
         Args:
             term: Term of the leader that proposes.
+            proposed_ms: When it is proposed, on the replica's clock.
         """
+        self.proposed_ms = proposed_ms
         self._term = term
         self._outcome: object = None
         self._is_lost = False
@@ -250,6 +256,7 @@
             proposal.resolve(entry.term, outcome)
 
     def _compact_log(self) -> None:
+        started_ms = self.clock.now_ms()
         snapshot = msgs.Snapshot(
             self.commit,
             self.log.term_at(self.commit) or 0,
@@ -260,3 +267,10 @@
         self.store.save_snapshot(
             snapshot, self.log.entries_from(self.commit + 1)
         )
+        logger.info(
+            'The log was compacted.',
+            instance=self.me.instance,
+            index=snapshot.index,
+            state_bytes=len(snapshot.state),
+            took_ms=self.clock.now_ms() - started_ms,
+        )
