Look for the leader of the ledger with one request at a time

Cause: an entry that got no reply of the ledger's leader for 400 ms avoided it for a second, and each of its waiting requests asked another storage instance every 50 ms meanwhile; all of these refused and named the leader. Settlements did so for 15 s. After the second the same commands were sent again. So the more the leader was behind, the more it and the members that it waits for had to do. Samples of entries show it (14 of 100 in the client of the ledger, 2 in the decoding of refusals), and the log of the leader: from 8 s on, when the load has fallen to a half, it still commits 900 commands a second, while callers see fewer than 100 turns opened.

Now one request of an instance looks for the leader while the others wait for it; a leader that is connected but slow is asked again if the others still name it; the time for an attempt and the pause after one double.

--- a/src/acaciaramp/conversations/client.py
+++ b/src/acaciaramp/conversations/client.py
@@ -5,6 +5,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
+import anyio
 import msgspec
 
 from acaciaramp.conversations.messages import (
@@ -29,11 +30,14 @@
 
 logger = get_logger('conversations')
 
-# Timeout of one request to one instance: longer than two trips between regions
-# and two disk syncs.
-_REQUEST_TIMEOUT_MS = 400
-_RETRY_PAUSE_MS = 50
-# How long an instance that did not reply is avoided, even if other instances
+# Timeout of the first attempt of a request: longer than two trips between regions
+# and two disk syncs. It doubles with each further attempt, as a leader that is slow
+# under load must not get the same request again and again.
+_ATTEMPT_TIMEOUT_MS = 400
+_SEARCH_PAUSE_MS = 50
+# The pause after a refused attempt doubles up to this one.
+_LONGEST_PAUSE_MS = 400
+# How long an instance that cannot be reached is avoided, even if other instances
 # still name it as the leader.
 _AVOID_MS = 1_000
 
@@ -44,8 +48,9 @@
 class LedgerClient:
     """Sends requests to the leader of the ledger and finds it when it moves.
 
-    The last known leader is asked first. Without one, the storage instances
-    are asked in turn; a follower names the leader in its refusal.
+    The last known leader is asked first. Without one, a single request at a time
+    asks the storage instances in turn, while all others wait for its outcome; a
+    follower names the leader in its refusal.
     """
 
     def __init__(
@@ -65,6 +70,10 @@
         self._storages = storages
         self._clock = clock
         self._leader: InstanceId | None = None
+        # Counts the leaders that were lost: of many requests that fail at one
+        # leader only the first starts a search.
+        self._losses = 0
+        self._search = anyio.Lock()
         self._round_robin = itertools.count()
         self._avoided_until_ms: dict[InstanceId, int] = {}
 
@@ -102,40 +111,98 @@
     async def _request(self, req: LedgerRequest, wait_ms: int) -> LedgerReply:
         deadline_ms = self._clock.now_ms() + wait_ms
         body = _encode(req)
+        timeout_ms = _ATTEMPT_TIMEOUT_MS
+        pause_ms = _SEARCH_PAUSE_MS
         last_error = CallError(
-            ErrorCode.HOME_UNREACHABLE, 'no storage instance is known'
+            ErrorCode.HOME_UNREACHABLE, 'no leader of the ledger is known'
         )
         while self._clock.now_ms() < deadline_ms:
             left_ms = deadline_ms - self._clock.now_ms()
-            target = self._next_target()
+            leader = self._leader
+            try:
+                if leader is not None:
+                    return await self._send_to_leader(
+                        leader, body, min(timeout_ms, left_ms)
+                    )
+                reply = await self._find_leader(body, left_ms)
+            except CallError as exc:
+                last_error = exc
+                timeout_ms *= 2
+                await self._clock.sleep_ms(min(pause_ms, left_ms))
+                pause_ms = min(2 * pause_ms, _LONGEST_PAUSE_MS)
+                continue
+            if reply is not None:
+                return reply
+        raise last_error
+
+    async def _send_to_leader(
+        self, leader: InstanceId, body: bytes, wait_ms: int
+    ) -> LedgerReply:
+        losses = self._losses
+        try:
+            return await self._send(leader, body, wait_ms)
+        except CallError as exc:
+            is_hasty = wait_ms < _ATTEMPT_TIMEOUT_MS and self._is_slow(
+                leader, exc
+            )
+            if losses == self._losses and not is_hasty:
+                self._lose_leader(leader, exc)
+            raise
+
+    async def _find_leader(
+        self, body: bytes, wait_ms: int
+    ) -> LedgerReply | None:
+        """Ask storage instances in turn until one leads or names the leader.
+
+        Args:
+            body: Request to send to them.
+            wait_ms: Time limit, milliseconds.
+
+        Returns:
+            The reply of the leader if it was among those asked; None once it is
+            known, also if another request has found it.
+
+        Raises:
+            CallError: No leader was found in time.
+        """
+        deadline_ms = self._clock.now_ms() + wait_ms
+        try:
+            with self._clock.timeout(wait_ms):
+                async with self._search:
+                    return await self._search_leader(body, deadline_ms)
+        except TimeoutError:
+            raise CallError(
+                ErrorCode.HOME_UNREACHABLE, 'no leader of the ledger was found'
+            ) from None
+
+    async def _search_leader(
+        self, body: bytes, deadline_ms: int
+    ) -> LedgerReply | None:
+        while self._leader is None:
+            target = self._next_candidate()
+            left_ms = deadline_ms - self._clock.now_ms()
             if target is not None:
                 try:
-                    return await self._request_from(
-                        target, body, min(_REQUEST_TIMEOUT_MS, left_ms)
+                    reply = await self._send(
+                        target, body, min(_ATTEMPT_TIMEOUT_MS, left_ms)
                     )
                 except CallError as exc:
-                    last_error = exc
-                    self._record_failure(target, exc)
-            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
-        raise last_error
-
-    async def _request_from(
+                    self._follow_hint(target, exc)
+                else:
+                    self._set_leader(target)
+                    return reply
+            if self._leader is None:
+                await self._clock.sleep_ms(_SEARCH_PAUSE_MS)
+        return None
+
+    async def _send(
         self, target: InstanceId, body: bytes, wait_ms: int
     ) -> LedgerReply:
         link = self._links.get(target)
         wire = await link.request(Channel.LEDGER, body, wait_ms)
-        reply = decode_reply(_reply_decoder, wire)
-        if self._leader != target:
-            logger.info(
-                'Found the leader of the ledger; sending requests to it.',
-                instance=target,
-            )
-            self._leader = target
-        return reply
+        return decode_reply(_reply_decoder, wire)
 
-    def _next_target(self) -> InstanceId | None:
-        if self._leader is not None:
-            return self._leader
+    def _next_candidate(self) -> InstanceId | None:
         candidates = self._storages()
         if not candidates:
             return None
@@ -144,20 +211,41 @@
         ] or candidates
         return candidates[next(self._round_robin) % len(candidates)]
 
-    def _record_failure(self, target: InstanceId, exc: CallError) -> None:
-        if self._leader == target:
-            logger.warning(
-                'Lost the leader of the ledger; looking for the new one.',
-                instance=target,
-                reason=exc,
-            )
+    def _set_leader(self, leader: InstanceId) -> None:
+        logger.info(
+            'Found the leader of the ledger; sending requests to it.',
+            instance=leader,
+        )
+        self._leader = leader
+
+    def _lose_leader(self, leader: InstanceId, exc: CallError) -> None:
+        logger.warning(
+            'Lost the leader of the ledger; looking for the new one.',
+            instance=leader,
+            reason=exc,
+        )
+        self._losses += 1
         self._leader = None
-        hint = exc.refusal.leader
-        if exc.refusal.code is ErrorCode.HOME_UNREACHABLE:
+        self._follow_hint(leader, exc)
+
+    def _follow_hint(self, target: InstanceId, exc: CallError) -> None:
+        """Use the leader that a refusal names; avoid an unreachable instance.
+
+        An instance that is connected but replies late is not avoided: if the
+        others still name it, it leads and is only slow.
+        """
+        is_silent = exc.refusal.code is ErrorCode.HOME_UNREACHABLE
+        if is_silent and not self._is_slow(target, exc):
             until_ms = self._clock.now_ms() + _AVOID_MS
             self._avoided_until_ms[target] = until_ms
+        hint = exc.refusal.leader
         if hint and hint != target and not self._is_avoided(InstanceId(hint)):
-            self._leader = InstanceId(hint)
+            self._set_leader(InstanceId(hint))
+
+    def _is_slow(self, target: InstanceId, exc: CallError) -> bool:
+        """Return whether a connected instance has not replied in time."""
+        is_silent = exc.refusal.code is ErrorCode.HOME_UNREACHABLE
+        return is_silent and self._links.get(target).is_connected
 
     def _is_avoided(self, instance: InstanceId) -> bool:
         until_ms = self._avoided_until_ms.get(instance, 0)
--- a/tests/conversations/test_client.py
+++ b/tests/conversations/test_client.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from acaciaramp.clock import SystemClock
+from acaciaramp.clock import ManualClock, SystemClock
 from acaciaramp.conversations.client import LedgerClient
 from acaciaramp.conversations.messages import (
     CloseReply,
@@ -59,6 +59,11 @@
         self._links = links
         self._instance = instance
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the instance can be reached."""
+        return self._instance not in self._links.unreachable
+
     async def request(self, _: Channel, body: bytes, wait_ms: int) -> bytes:
         """Reply as the leader, or refuse as a follower."""
         links = self._links
@@ -108,3 +113,35 @@
     links.get = lambda instance: WrongReplyLink(links, instance)  # type: ignore[method-assign]
     with pytest.raises(CallError, match='another kind'):
         anyio.run(make_client(links).open_turn, OPEN, 100)
+
+
+def test_waiting_requests_do_not_multiply_while_the_leader_is_slow() -> None:
+    clock = ManualClock()
+
+    class SlowLeaderLink(FakeLink):
+        async def request(self, _: Channel, body: bytes, wait_ms: int) -> bytes:
+            if self._instance == 'c':
+                self._links.requested.append('c')
+                await clock.sleep_ms(wait_ms)
+                raise CallError(ErrorCode.HOME_UNREACHABLE, 'slow')
+            return await super().request(_, body, wait_ms)
+
+    links = FakeLinks(leader='c', hint='c')
+    links.get = lambda instance: SlowLeaderLink(links, instance)  # type: ignore[method-assign]
+    waiting, duration_ms = 100, 3_000
+
+    async def scenario() -> None:
+        client = LedgerClient(cast('Links', links), lambda: NAMES, clock)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(waiting):
+                tasks.start_soon(client.open_turn, OPEN, 10 * duration_ms)
+            for _ in range(duration_ms // 10):
+                await anyio.wait_all_tasks_blocked()
+                clock.advance(10)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+    to_leader = links.requested.count('c')
+    # Attempts that take 400 ms, 800 ms and 1,600 ms fit into the time.
+    assert to_leader <= 4 * waiting
+    assert len(links.requested) - to_leader <= duration_ms / 50
