Sync the leader's log by one task, and start no timer for each command

Each committed command also entered a timeout of 0 ms, whose cancellation is costly, to wait for the members that lack it, which the roles do not do (full_wait_ms is 0).

One task syncs the log now; what is appended during a sync shares the next one. Nothing waits for the other members unless full_wait_ms says so.

--- a/src/acaciaramp/replication/leader.py
+++ b/src/acaciaramp/replication/leader.py
@@ -52,6 +52,7 @@
         self._request = request
         self._first_own_index = 0
         self._slow_commit_logged_ms = 0
+        self._appended = anyio.Event()
         self._tasks: TaskGroup | None = None
 
     @property
@@ -83,6 +84,7 @@
         state.leader = state.me.instance
         self.progress = Progress(state.me)
         self.is_transferring = False
+        self._appended = anyio.Event()
         self._first_own_index = state.log.last_index + 1
         try:
             await self._run_tasks()
@@ -113,7 +115,8 @@
         state.pending[index] = proposal
         self._append(msgs.Entry(state.term, kind, payload))
         outcome = await proposal.wait()
-        await self._wait_for_full_replication(index)
+        if state.timing.full_wait_ms:
+            await self._wait_for_full_replication(index)
         return outcome
 
     async def _run_tasks(self) -> None:
@@ -122,6 +125,7 @@
             self._tasks = tasks
             state.leader_scope = tasks.cancel_scope
             self._append(msgs.Entry(state.term, msgs.EntryKind.NO_OP))
+            tasks.start_soon(self._sync_log, state.term)
             tasks.start_soon(self._check_quorum)
 
     def _append(self, entry: msgs.Entry) -> None:
@@ -129,19 +133,23 @@
         state.log.append([entry])
         state.store.append(state.log.last_index, [entry])
         self._start_replication()
-        if self._tasks is not None:
-            self._tasks.start_soon(
-                self._sync_and_commit, state.term, state.log.last_index
-            )
+        self._appended.set()
         state.notify_waiters()
 
-    async def _sync_and_commit(self, term: int, index: int) -> None:
-        """Count the leader's own copy of the log once it is durable."""
+    async def _sync_log(self, term: int) -> None:
+        """Count the leader's own copy of entries once they are durable.
+
+        All entries that are appended during one sync share the next one.
+        """
         state = self._state
-        await state.store.sync()
-        if self._is_leading(term):
-            self.progress.synced_index = max(self.progress.synced_index, index)
-            self._advance_commit()
+        while self._is_leading(term):
+            await self._appended.wait()
+            self._appended = anyio.Event()
+            index = state.log.last_index
+            await state.store.sync()
+            if self._is_leading(term):
+                self.progress.synced_index = index
+                self._advance_commit()
 
     def _start_replication(self) -> None:
         """Start replication to the members that have none yet."""
