--- a/src/acaciaramp/replication/leader.py
+++ b/src/acaciaramp/replication/leader.py
@@ -248,16 +248,16 @@
         state = self._state
         sent_ms = state.clock.now_ms()
         term = state.term
+        req = self._next_request(instance, peer)
         try:
-            reply = await self._request(
-                instance, self._next_request(instance, peer)
-            )
+            reply = await self._request(instance, req)
         except PeerError:
             return False
         if reply.term > state.term:
             state.step_down(reply.term)
         elif state.term == term and isinstance(reply, msgs.AppendReply):
-            self._on_reply(peer, reply, sent_ms)
+            peer.last_contact_ms = max(peer.last_contact_ms, sent_ms)
+            self._on_reply(peer, req, reply)
         return True
 
     def _next_request(
@@ -265,13 +265,14 @@
     ) -> msgs.AppendRequest | msgs.SnapshotPart:
         state = self._state
         previous_index = peer.next_index - 1
-        if previous_index < state.log.snapshot.index:
+        previous_term = state.log.term_at(previous_index)
+        if previous_term is None:
             return self._snapshot_part(instance, peer)
         return msgs.AppendRequest(
             term=state.term,
             leader=state.me.instance,
             previous_index=previous_index,
-            previous_term=state.log.term_at(previous_index) or 0,
+            previous_term=previous_term,
             entries=state.log.batch(peer.next_index),
             commit=state.commit,
         )
@@ -302,15 +303,17 @@
         )
 
     def _on_reply(
-        self, peer: Peer, reply: msgs.AppendReply, sent_ms: int
+        self,
+        peer: Peer,
+        req: msgs.AppendRequest | msgs.SnapshotPart,
+        reply: msgs.AppendReply,
     ) -> None:
-        peer.last_contact_ms = max(peer.last_contact_ms, sent_ms)
         if peer.replica != reply.replica:
             peer.replica = reply.replica
             peer.match_index = 0
         if reply.is_matching:
             self._record_match(peer, reply.index)
-        elif peer.next_index <= self._state.log.snapshot.index:
+        elif isinstance(req, msgs.SnapshotPart):
             peer.snapshot_offset = reply.index
         else:
             peer.next_index = max(1, min(reply.index, peer.next_index - 1))
--- a/src/acaciaramp/replication/state.py
+++ b/src/acaciaramp/replication/state.py
@@ -148,7 +148,7 @@
         self.term = stored.vote.term
         self.vote = stored.vote.candidate
         self.leader: InstanceId | None = None
-        self.log = Log(snapshot, stored.entries)
+        self.log = Log(snapshot, stored.entries, timing.retained_entries)
         self.commit = snapshot.index
         self.leader_commit = snapshot.index
         self.store = store
--- a/src/acaciaramp/replication/timing.py
+++ b/src/acaciaramp/replication/timing.py
@@ -18,6 +18,8 @@
             the voters that do not have it yet.
         compact_entries: Number of applied entries after the snapshot at which
             the log is compacted.
+        retained_entries: Number of entries that are retained at that point, so
+            that members which are a little behind need no snapshot.
     """
 
     heartbeat_ms: int = 150
@@ -26,3 +28,4 @@
     request_ms: int = 1_000
     full_wait_ms: int = 50
     compact_entries: int = 2_000
+    retained_entries: int = 1_000
--- a/tests/replication/fuzz.py
+++ b/tests/replication/fuzz.py
@@ -40,6 +40,7 @@
     request_ms=60,
     full_wait_ms=10,
     compact_entries=12,
+    retained_entries=4,
 )
 # Turns of the event loop after each tick, so that tasks can react to it.
 _YIELDS_PER_TICK = 12
--- a/tests/replication/test_load.py
+++ b/tests/replication/test_load.py
@@ -109,3 +109,31 @@
 
     store.may_end.set()
     run_with_leader(send, scenario, store)
+
+
+def test_a_member_that_is_a_little_behind_needs_no_snapshot() -> None:
+    snapshots: list[msgs.Request] = []
+    c_replies = anyio.Event()
+
+    async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+        if target == C.instance and isinstance(req, msgs.SnapshotPart):
+            snapshots.append(req)
+        if target == C.instance and is_late_append(req):
+            await c_replies.wait()
+        return acknowledge(target, req)
+
+    def is_late_append(req: msgs.Request) -> bool:
+        return isinstance(req, msgs.AppendRequest) and req.previous_index >= 18
+
+    async def scenario(replica: Replica, tasks: TaskGroup) -> None:
+        for _ in range(25):
+            await replica.propose(b'x')
+            await anyio.wait_all_tasks_blocked()
+        assert replica.log.snapshot.index >= 20
+        c_replies.set()
+        await anyio.wait_all_tasks_blocked()
+        assert not snapshots
+        assert replica.progress.match_index_of(C) == replica.log.last_index
+
+    timing = Timing(full_wait_ms=0, compact_entries=20, retained_entries=5)
+    run_with_leader(send, scenario, timing=timing)
