Reach endpoints through a peer while this instance reaches none itself

Cause: every failure was taken to be the endpoint's, and there was no second path. An entry now checks its reach by its own dials when it has doubts, and opens connections through its peers while it has none. The tunnel carries bytes only, so that deadline, rate, turn and verdict stay with the entry, and nothing is sent before the peer has a connection.

The views that control instances send name the zones of entries as well; older processes ignore that.

--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -390,9 +390,11 @@
         if self._leader_since_ms is None:
             return
         state = self._state_machine.state
+        entries = self._directory.nodes_with_role(RoleName.ENTRY)
         view = View(
             controls=self._instances_with_role(RoleName.CONTROL),
-            entries=self._instances_with_role(RoleName.ENTRY),
+            entries=tuple(node.instance for node in entries),
+            entry_zones=tuple(node.availability_zone for node in entries),
             storages=self._ordered_storages(),
             ledger_voters=self._update_ledger_voters(),
             ledger_seed=state.ledger_seed,
--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -72,6 +72,7 @@
     Attributes:
         controls: Control instances that report.
         entries: Entry instances that report.
+        entry_zones: Their availability zones, in the same order.
         storages: Storage instances that report, in the order in which they
             are preferred as replicas of the ledger.
         ledger_voters: Instances of the ledger's voters, as its leader reports
@@ -87,6 +88,7 @@
 
     controls: tuple[InstanceId, ...] = ()
     entries: tuple[InstanceId, ...] = ()
+    entry_zones: tuple[AvailabilityZone, ...] = ()
     storages: tuple[InstanceId, ...] = ()
     ledger_voters: tuple[InstanceId, ...] = ()
     ledger_seed: Member | None = None
--- /dev/null
+++ b/src/acaciaramp/endpoints/dialing.py
@@ -0,0 +1,61 @@
+"""Opens TCP connections to endpoints."""
+
+from __future__ import annotations
+
+import socket
+
+import httpcore
+
+from acaciaramp.clock import MS_PER_SECOND
+from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.verdicts import Verdict
+
+# A connection is reset if sent data is not acknowledged for this long.
+_TCP_USER_TIMEOUT_MS = 1_500
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 2
+
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS),
+)
+
+NETWORK_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+_backend = httpcore.AnyIOBackend()
+
+
+async def dial(
+    host: str, port: int, timeout_ms: int
+) -> httpcore.AsyncNetworkStream:
+    """Open a connection.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+        timeout_ms: Time limit, milliseconds.
+
+    Raises:
+        EndpointError: There is no connection; nothing was sent.
+    """
+    try:
+        return await _backend.connect_tcp(
+            host,
+            port,
+            timeout=timeout_ms / MS_PER_SECOND,
+            socket_options=SOCKET_OPTIONS,
+        )
+    except NETWORK_ERRORS as exc:
+        raise EndpointError(
+            Failure.CONNECT,
+            Verdict.NOT_RUN,
+            f'no connection to the endpoint: {type(exc).__name__}',
+        ) from None
--- a/src/acaciaramp/forwarding/connections.py
+++ b/src/acaciaramp/forwarding/connections.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import collections
-import socket
 from typing import TYPE_CHECKING, Any
 
 import httpcore
 
-from acaciaramp.clock import MS_PER_SECOND
+from acaciaramp.endpoints.dialing import NETWORK_ERRORS
 from acaciaramp.endpoints.failures import EndpointError, Failure
 from acaciaramp.forwarding.buffers import too_long_error
 from acaciaramp.verdicts import Verdict
@@ -18,16 +17,12 @@
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
+    from acaciaramp.forwarding.dialer import Dialer, Route
     from acaciaramp.forwarding.messages import RawHeaders
     from acaciaramp.ids import ServiceName
 
     ConnectionLimit = Callable[[ServiceName], int | None]
 
-CONNECT_TIMEOUT_MS = 700
-# A connection is reset if sent data is not acknowledged for this long.
-_TCP_USER_TIMEOUT_MS = 1_500
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
 # Idle timeout of endpoints that do not send a ``Keep-Alive`` header.
 _DEFAULT_IDLE_MS = 3_000
 # Connections are closed this long before the idle timeout of the endpoint, to
@@ -37,21 +32,6 @@
 # The read that completes a head may contain up to 64 KiB of the body.
 _MAX_HEAD_BYTES = 98_304
 
-_SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS),
-)
-
-_NETWORK_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
-
 
 class _HeadTooLongError(Exception):
     """The head of a response does not end."""
@@ -118,16 +98,16 @@
     Attributes:
         idle_ms: Idle timeout of the endpoint, milliseconds.
         last_used_ms: Time at which it was last returned to the pool.
+        peer: Host of the peer that it runs through; None if it is direct.
     """
 
-    def __init__(
-        self, origin: httpcore.Origin, stream: httpcore.AsyncNetworkStream
-    ) -> None:
-        """Create the connection on an open network stream."""
+    def __init__(self, origin: httpcore.Origin, route: Route) -> None:
+        """Create the connection on an open route to the endpoint."""
         self.idle_ms = _DEFAULT_IDLE_MS
         self.last_used_ms = 0
+        self.peer = None if route.peer is None else route.peer.host
         self._origin = origin
-        self._stream = _BoundedStream(stream)
+        self._stream = _BoundedStream(route.stream)
         self._http = httpcore.AsyncHTTP11Connection(origin, self._stream)
 
     async def send(
@@ -152,7 +132,7 @@
             )
         except _HeadTooLongError:
             raise too_long_error(_MAX_HEAD_BYTES) from None
-        except _NETWORK_ERRORS as exc:
+        except NETWORK_ERRORS as exc:
             raise connection_lost_error(exc) from None
         self._stream.is_reading_head = False
         return resp
@@ -183,19 +163,22 @@
 class ConnectionPool:
     """Pool of connections by endpoint with a limit per endpoint."""
 
-    def __init__(self, clock: Clock, limit_of: ConnectionLimit) -> None:
+    def __init__(
+        self, dialer: Dialer, clock: Clock, limit_of: ConnectionLimit
+    ) -> None:
         """Create an empty pool.
 
         Args:
+            dialer: Opens connections.
             clock: Clock for idle times.
             limit_of: Returns the maximum number of connections of this
                 instance to each endpoint of a service, None for no limit.
         """
+        self._dialer = dialer
         self._clock = clock
         self._limit_of = limit_of
         self._idle: dict[str, list[Connection]] = {}
         self._open_counts: collections.Counter[str] = collections.Counter()
-        self._backend = httpcore.AnyIOBackend()
 
     async def acquire(self, endpoint: Endpoint) -> Connection:
         """Return an idle connection or open a new one.
@@ -207,7 +190,7 @@
         idle = self._idle.get(endpoint.id, [])
         while idle:
             conn = idle.pop()
-            if conn.is_reusable() and not self._is_expired(conn):
+            if self._is_usable(conn):
                 return conn
             await self.discard(endpoint, conn)
         self._check_limit(endpoint)
@@ -244,6 +227,16 @@
             self._idle[endpoint_id].remove(conn)
         return expired
 
+    def _is_usable(self, conn: Connection) -> bool:
+        """Return whether a request may be sent on an idle connection.
+
+        One that takes another way than a new one would is not used: the direct
+        ones may be dead, and the detour is longer.
+        """
+        if (conn.peer is not None) != self._dialer.uses_tunnels:
+            return False
+        return conn.is_reusable() and not self._is_expired(conn)
+
     def _is_expired(self, conn: Connection) -> bool:
         idle_ms = self._clock.now_ms() - conn.last_used_ms
         return idle_ms >= conn.idle_ms - _IDLE_MARGIN_MS
@@ -281,21 +274,9 @@
             raise
 
     async def _connect(self, endpoint: Endpoint) -> Connection:
-        try:
-            stream = await self._backend.connect_tcp(
-                endpoint.host,
-                endpoint.port,
-                timeout=CONNECT_TIMEOUT_MS / MS_PER_SECOND,
-                socket_options=_SOCKET_OPTIONS,
-            )
-        except _NETWORK_ERRORS as exc:
-            raise EndpointError(
-                Failure.CONNECT,
-                Verdict.NOT_RUN,
-                f'no connection to the endpoint: {type(exc).__name__}',
-            ) from None
+        route = await self._dialer.open(endpoint)
         origin = httpcore.Origin(b'http', endpoint.host.encode(), endpoint.port)
-        return Connection(origin, stream)
+        return Connection(origin, route)
 
 
 async def iter_body(resp: httpcore.Response) -> AsyncIterator[bytes]:
@@ -307,7 +288,7 @@
     try:
         async for part in resp.aiter_stream():
             yield part
-    except _NETWORK_ERRORS as exc:
+    except NETWORK_ERRORS as exc:
         raise connection_lost_error(exc) from None
 
 
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -20,8 +20,10 @@
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.chooser import EndpointChooser
     from acaciaramp.forwarding.connections import Connection, ConnectionPool
+    from acaciaramp.forwarding.dialer import Dialer
     from acaciaramp.forwarding.endpoint_limits import EndpointLimits
     from acaciaramp.forwarding.messages import Codec, ResponseHead
+    from acaciaramp.forwarding.reach import Reach
     from acaciaramp.forwarding.relay import Relay
     from acaciaramp.forwarding.selector import EndpointSelector
     from acaciaramp.metrics.client import Metrics
@@ -30,6 +32,8 @@
 
 # Statuses that mean to a caller that its request was not executed.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# A caller that comes back is likely to reach another instance.
+_CUT_OFF_RETRY_AFTER_MS = 100
 
 
 class Forwarder:
@@ -45,6 +49,8 @@
         clock: Clock,
         metrics: Metrics,
         report_crash: Callable[[str, Endpoint], None],
+        dialer: Dialer,
+        reach: Reach,
     ) -> None:
         """Create the forwarder.
 
@@ -58,7 +64,11 @@
             metrics: Counts retries and invalid responses.
             report_crash: Called with the digest of a request and the endpoint
                 whose connection failed during the request.
+            dialer: Knows whether endpoints are reached in any way.
+            reach: Is told of requests that are sent directly.
         """
+        self._dialer = dialer
+        self._reach = reach
         self._codec = codec
         self._chooser = chooser
         self._selector = selector
@@ -84,7 +94,7 @@
         excluded: set[str] = set()
         is_done = False
         while not is_done:
-            endpoint = await self._chooser.next_endpoint(call, excluded)
+            endpoint = await self._next_endpoint(call, excluded)
             try:
                 await self._try_endpoint(call, endpoint, relay)
             except EndpointError as exc:
@@ -96,6 +106,21 @@
             else:
                 is_done = True
 
+    async def _next_endpoint(self, call: Call, excluded: set[str]) -> Endpoint:
+        """Return the endpoint for the next attempt.
+
+        Raises:
+            CallError: None is available or reached in any way.
+        """
+        if self._dialer.is_cut_off:
+            raise CallError(
+                ErrorCode.NO_ENDPOINT,
+                'neither this instance nor a peer reaches the endpoints',
+                call.verdict,
+                retry_after_ms=_CUT_OFF_RETRY_AFTER_MS,
+            )
+        return await self._chooser.next_endpoint(call, excluded)
+
     async def _try_endpoint(
         self, call: Call, endpoint: Endpoint, relay: Relay
     ) -> None:
@@ -151,11 +176,21 @@
         )
         inbound = call.inbound
         call.is_sent = True
+        if conn.peer is None:
+            self._reach.record_sent(inbound.attempt)
+        else:
+            logger.info(
+                'The request takes the way through a peer.',
+                attempt=inbound.attempt,
+                peer=conn.peer,
+            )
         try:
             with self._clock.timeout(left_ms):
                 resp = await conn.send(
                     inbound.method, inbound.target, headers, call.body
                 )
+                if conn.peer is None:
+                    self._reach.record_heard(inbound.attempt)
                 head = self._codec.read_response(resp.status, resp.headers)
                 self._check_response(call, endpoint, head)
                 conn.idle_ms = head.idle_ms or conn.idle_ms
@@ -165,6 +200,8 @@
             raise EndpointError(
                 Failure.TIMEOUT, Verdict.MAY_HAVE_RUN, 'no answer came in time'
             ) from None
+        finally:
+            self._reach.record_ended(inbound.attempt)
         self._selector.record_success(endpoint)
 
     def _check_response(
@@ -224,6 +261,7 @@
         if exc.failure in {Failure.CONNECT, Failure.CONNECTION_LOST}:
             self._selector.record_failure(endpoint, exc.failure.value)
         if exc.failure is Failure.CONNECTION_LOST:
+            self._reach.suspect(endpoint.id)
             self._report_crash(call.digest(), endpoint)
         call.is_sent = False
         if exc.verdict is not Verdict.NOT_RUN:
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -23,7 +23,7 @@
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.messages import EndpointLoad
-    from acaciaramp.ids import AvailabilityZone
+    from acaciaramp.ids import AvailabilityZone, EndpointId
 
 logger = get_logger('placement')
 
@@ -116,6 +116,7 @@
         self._regions = regions
         self._clock = clock
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
+        self._by_id: dict[EndpointId, Endpoint] = {}
         # Leaving endpoints with the time at which each was first listed as such.
         self._leaving: dict[Endpoint, int] = {}
         self._states: dict[str, _EndpointState] = collections.defaultdict(
@@ -146,8 +147,8 @@
         }
         self._log_changes(by_service)
         self._by_service = by_service
-        ids = {endpoint.id for endpoint in endpoints}
-        removed = self._states.keys() - ids
+        self._by_id = {endpoint.id: endpoint for endpoint in endpoints}
+        removed = self._states.keys() - self._by_id.keys()
         for endpoint_id in removed:
             if not self._states[endpoint_id].in_flight:
                 self._states.pop(endpoint_id)
@@ -157,6 +158,14 @@
         """Whether any service has an endpoint that is not leaving."""
         return bool(self._by_service)
 
+    def find(self, endpoint_id: EndpointId) -> Endpoint | None:
+        """Return the listed endpoint with an id, None if there is none."""
+        return self._by_id.get(endpoint_id)
+
+    def staying(self) -> list[Endpoint]:
+        """Return all listed endpoints that are not leaving."""
+        return [item for group in self._by_service.values() for item in group]
+
     def rank(
         self, query: EndpointQuery, excluded: Collection[str] = ()
     ) -> list[Endpoint]:
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -33,6 +33,10 @@
         RATE_REQUESTED: Requests for rate tokens, by ``GrantOutcome``.
         SLOT_REQUESTED: Requests for slots at limited endpoints, by
             ``GrantOutcome``.
+        REACH_LOST: Times at which this instance lost its way to the endpoints.
+        TUNNEL_OPENED: Tunnels through peers opened.
+        TUNNEL_FAILED: Peers that opened no tunnel when they were asked.
+        TUNNEL_REQUESTED: Tunnels that peers asked for, by ``TunnelOutcome``.
     """
 
     REFUSED = 'refused'
@@ -56,6 +60,10 @@
     LEDGER_OPENED = 'ledger.opened'
     RATE_REQUESTED = 'rate.asked'
     SLOT_REQUESTED = 'slot.requested'
+    REACH_LOST = 'reach.lost'
+    TUNNEL_OPENED = 'tunnel.opened'
+    TUNNEL_FAILED = 'tunnel.failed'
+    TUNNEL_REQUESTED = 'tunnel.requested'
 
 
 class GrantOutcome(enum.Enum):
--- /dev/null
+++ b/src/acaciaramp/roles/endpoint_paths.py
@@ -0,0 +1,84 @@
+"""Ways of an entry instance to the endpoints: direct ones and through peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from acaciaramp.forwarding.dialer import Dialer
+from acaciaramp.forwarding.reach import Reach
+from acaciaramp.settings.node import split_address
+from acaciaramp.tunnels.client import PeerAddress
+from acaciaramp.tunnels.opener import TunnelOpener
+from acaciaramp.tunnels.server import TunnelServer
+
+if TYPE_CHECKING:
+    import random
+
+    from acaciaramp.coordination.messages import View
+    from acaciaramp.forwarding.selector import EndpointSelector
+    from acaciaramp.roles.common import RoleContext
+
+
+class EndpointPaths:
+    """Composition of the reach, the dialer and both sides of tunnels.
+
+    Attributes:
+        reach: Whether this instance reaches endpoints itself.
+        dialer: Opens connections to endpoints.
+    """
+
+    def __init__(
+        self,
+        context: RoleContext,
+        selector: EndpointSelector,
+        rng: random.Random,
+    ) -> None:
+        """Create the components; ``start`` starts them.
+
+        Args:
+            context: Dependencies that every role shares.
+            selector: Knows the endpoints.
+            rng: Chooses among equal endpoints and peers.
+        """
+        cfg = context.cfg
+        self.reach = Reach(
+            selector.staying, context.clock, rng, context.metrics
+        )
+        self._tunnels = TunnelOpener(
+            cfg.availability_zone,
+            cfg.regions,
+            context.clock,
+            rng,
+            context.metrics,
+        )
+        self.dialer = Dialer(
+            self.reach,
+            None if cfg.tunnel_port is None else self._tunnels,
+            context.clock,
+        )
+        self._context = context
+        self._server = TunnelServer(
+            selector.find,
+            lambda: self.reach.is_lost,
+            context.clock,
+            context.metrics,
+        )
+
+    def start(self) -> None:
+        """Check the reach, and pass bytes on for peers, in the background."""
+        tasks, cfg = self._context.tasks, self._context.cfg
+        tasks.start_soon(self.reach.run)
+        if cfg.tunnel_port is not None:
+            tasks.start_soon(self._server.serve, cfg.host, cfg.tunnel_port)
+
+    def replace_peers(self, view: View) -> None:
+        """Take the entry instances of a view as peers, but for this one."""
+        port = self._context.cfg.tunnel_port or 0
+        zones = zip(view.entries, view.entry_zones, strict=False)
+        self._tunnels.replace_peers(
+            {
+                PeerAddress(split_address(instance)[0], port): zone
+                for instance, zone in zones
+                if instance != self._context.node.instance
+            }
+        )
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -30,6 +30,7 @@
 from acaciaramp.forwarding.turns import TurnLifecycle
 from acaciaramp.ids import WorkspaceId
 from acaciaramp.limits.quota import Quota
+from acaciaramp.roles.endpoint_paths import EndpointPaths
 from acaciaramp.routing.checks import InvalidTableError
 from acaciaramp.routing.router import Router
 from acaciaramp.settings.node import split_address
@@ -102,7 +103,10 @@
         )
         self._selector = make_selector(cfg, context.clock, rng)
         self._limits = EndpointLimits(self._request_slot, context.clock)
-        self._connections = ConnectionPool(context.clock, self._max_connections)
+        self._paths = EndpointPaths(context, self._selector, rng)
+        self._connections = ConnectionPool(
+            self._paths.dialer, context.clock, self._max_connections
+        )
         self._follower = context.make_follower(
             self._on_table, self._on_view, lambda: None
         )
@@ -142,6 +146,8 @@
                 context.clock,
                 context.metrics,
                 self._report_crash,
+                self._paths.dialer,
+                self._paths.reach,
             ),
             clock=context.clock,
             metrics=context.metrics,
@@ -156,6 +162,8 @@
         """Whether the load balancer may send callers here."""
         if self._gateway.is_stopping or self._router.table is None:
             return False
+        if self._paths.dialer.is_cut_off:
+            return False
         silence_ms = self._follower.silence_ms()
         has_contact = silence_ms is not None and silence_ms < _READY_SILENCE_MS
         return has_contact and self._selector.has_endpoints
@@ -166,6 +174,7 @@
         context.tasks.start_soon(context.serve_peers, {})
         context.tasks.start_soon(self._follower.run)
         context.tasks.start_soon(self._run_ticks)
+        self._paths.start()
         sockets = [
             bind_socket(*split_address(address))
             for address in (context.cfg.callers, context.cfg.readiness)
@@ -337,6 +346,7 @@
         if view.endpoints is not None:
             self._replace_endpoints(view.endpoints)
         self._gateway.quarantined = frozenset(view.quarantined)
+        self._paths.replace_peers(view)
         entries = len(view.entries)
         # The view of a new leader may lack entry instances that have not
         # reported yet. Keeping the larger count keeps the sum of the local
--- a/src/acaciaramp/settings/node.py
+++ b/src/acaciaramp/settings/node.py
@@ -85,6 +85,9 @@
         region: The region of that availability zone.
         regions: The region of each availability zone.
         inner_port: TCP port for other instances; the same on all instances.
+        tunnel_port: TCP port on which entry instances pass bytes on to endpoints
+            for peers that do not reach them; the same on all instances. None
+            passes none on.
         seeds: ``HOST:PORT`` addresses, for operators, of some control
             instances.
         instance_list: The platform's list of endpoints.
@@ -114,6 +117,7 @@
     operators: str | None = None
     data_folder: str | None = None
     metrics_port: int | None = None
+    tunnel_port: int | None = None
     first_start: bool = False
     tolerated_faults: int = 1
     bounds: Bounds = Bounds()
--- /dev/null
+++ b/src/acaciaramp/tunnels/opener.py
@@ -0,0 +1,177 @@
+"""Opens tunnels through the peers that are most likely to reach an endpoint.
+
+Answers the load of an instance that has lost its way to all endpoints at once:
+many requests need a tunnel in the same moment, some peers are in the same
+situation, and a peer that is wrong about itself does not answer.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.metrics.names import Counter
+from acaciaramp.tunnels.client import PeerAddress, open_tunnel
+from acaciaramp.tunnels.messages import TunnelError
+from acaciaramp.util.logs import get_logger
+from acaciaramp.verdicts import Verdict
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping
+
+    from acaciaramp.clock import Clock
+    from acaciaramp.coordination.messages import Endpoint
+    from acaciaramp.ids import AvailabilityZone
+    from acaciaramp.metrics.client import Metrics
+    from acaciaramp.tunnels.client import TunnelStream
+
+logger = get_logger('tunnels')
+
+_OPEN_TIMEOUT_MS = 700
+# The next peer is tried as well if one has not answered after this time.
+_STAGGER_MS = 60
+# Peers that are tried for one connection.
+_MAX_ATTEMPTS = 8
+# How long a peer that opened no tunnel is tried only after all others.
+_AVOID_MS = 2_000
+
+
+class Tunnel(NamedTuple):
+    """An open tunnel.
+
+    Attributes:
+        peer: The peer that it runs through.
+        stream: Its bytes.
+    """
+
+    peer: PeerAddress
+    stream: TunnelStream
+
+
+class TunnelOpener:
+    """Chooses the peers of tunnels and opens them."""
+
+    def __init__(
+        self,
+        zone: AvailabilityZone,
+        regions: Mapping[AvailabilityZone, str],
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        """Create the opener, which knows no peer yet.
+
+        Args:
+            zone: Availability zone of this instance.
+            regions: Region of each availability zone.
+            clock: Source of time.
+            rng: Chooses among equal peers.
+            metrics: Counts tunnels that were opened and that were not.
+        """
+        self._zone = zone
+        self._regions = regions
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._peers: dict[PeerAddress, AvailabilityZone] = {}
+        self._avoided_until_ms: dict[PeerAddress, int] = {}
+
+    def replace_peers(self, peers: dict[PeerAddress, AvailabilityZone]) -> None:
+        """Replace the peers and their availability zones."""
+        self._peers = peers
+        self._avoided_until_ms = {
+            peer: until_ms
+            for peer, until_ms in self._avoided_until_ms.items()
+            if peer in peers
+        }
+
+    @property
+    def has_peers(self) -> bool:
+        """Whether any peer has not failed to open a tunnel recently."""
+        return not all(map(self._is_avoided, self._peers))
+
+    async def open(self, endpoint: Endpoint) -> Tunnel:
+        """Open a tunnel to an endpoint through the first peer that answers.
+
+        Raises:
+            EndpointError: No peer has opened one; nothing was sent.
+        """
+        opened: list[Tunnel] = []
+        async with anyio.create_task_group() as tasks:
+
+            async def attempt(peer: PeerAddress, ended: anyio.Event) -> None:
+                tunnel = await self._try_peer(peer, endpoint)
+                ended.set()
+                if tunnel is None:
+                    return
+                if opened:
+                    await tunnel.stream.aclose()
+                    return
+                opened.append(tunnel)
+                tasks.cancel_scope.cancel()
+
+            for peer in self.ranked(endpoint)[:_MAX_ATTEMPTS]:
+                ended = anyio.Event()
+                tasks.start_soon(attempt, peer, ended)
+                await self._wait_briefly(ended)
+        if opened:
+            return opened[0]
+        raise EndpointError(
+            Failure.CONNECT, Verdict.NOT_RUN, 'no peer reaches the endpoint'
+        )
+
+    def ranked(self, endpoint: Endpoint) -> list[PeerAddress]:
+        """Return the peers for an endpoint, preferred ones first.
+
+        Bytes cross as few zones and regions as they would without the detour if
+        the peer is in the zone of the endpoint or of this instance.
+        """
+        near = {self._zone, endpoint.availability_zone}
+        regions = {self._regions.get(zone) for zone in near}
+
+        def rank(peer: PeerAddress) -> tuple[bool, int, float]:
+            zone = self._peers[peer]
+            distance = int(zone not in near)
+            distance += int(self._regions.get(zone) not in regions)
+            return self._is_avoided(peer), distance, self._rng.random()
+
+        return sorted(self._peers, key=rank)
+
+    async def _try_peer(
+        self, peer: PeerAddress, endpoint: Endpoint
+    ) -> Tunnel | None:
+        try:
+            stream = await open_tunnel(
+                peer, endpoint.id, self._clock, _OPEN_TIMEOUT_MS
+            )
+        except TunnelError as exc:
+            self._avoided_until_ms[peer] = self._clock.now_ms() + _AVOID_MS
+            self._metrics.count(Counter.TUNNEL_FAILED)
+            logger.info(
+                'A peer opened no tunnel; trying another one.',
+                peer=peer.host,
+                endpoint=endpoint.id,
+                reason=exc,
+            )
+            return None
+        self._avoided_until_ms.pop(peer, None)
+        self._metrics.count(Counter.TUNNEL_OPENED)
+        logger.info(
+            'Opened a tunnel to an endpoint.',
+            peer=peer.host,
+            endpoint=endpoint.id,
+        )
+        return Tunnel(peer, stream)
+
+    async def _wait_briefly(self, ended: anyio.Event) -> None:
+        try:
+            with self._clock.timeout(_STAGGER_MS):
+                await ended.wait()
+        except TimeoutError:
+            return
+
+    def _is_avoided(self, peer: PeerAddress) -> bool:
+        return self._clock.now_ms() < self._avoided_until_ms.get(peer, 0)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -24,9 +24,11 @@
 from acaciaramp.forwarding.admission import Admission
 from acaciaramp.forwarding.chooser import EndpointChooser
 from acaciaramp.forwarding.connections import ConnectionPool
+from acaciaramp.forwarding.dialer import Dialer
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
+from acaciaramp.forwarding.reach import Reach
 from acaciaramp.forwarding.selector import EndpointSelector
 from acaciaramp.forwarding.turns import TurnLifecycle
 from acaciaramp.ids import AvailabilityZone
@@ -45,6 +47,7 @@
 )
 
 if TYPE_CHECKING:
+    from acaciaramp.clock import Clock
     from acaciaramp.conversations.client import LedgerClient
     from acaciaramp.coordination.messages import (
         Endpoint,
@@ -63,6 +66,20 @@
 NOT_EXECUTED_HEADER = 'x-not-executed: 1\r\n'
 
 
+def make_reach(
+    endpoints: Callable[[], list[Endpoint]],
+    clock: Clock,
+    metrics: Metrics | None = None,
+) -> Reach:
+    """Return a check of the reach; the test runs it."""
+    return Reach(endpoints, clock, random.Random(1), metrics or Metrics())
+
+
+def make_dialer(clock: Clock) -> Dialer:
+    """Return a dialer without peers that never doubts its reach."""
+    return Dialer(make_reach(list, clock), None, clock)
+
+
 class LocalLedger:
     """A ledger client on top of a ledger in this process.
 
@@ -109,6 +126,7 @@
         slots: Owner of the slots at limited endpoints.
         limits: Request limits that endpoints state.
         connections: Connections to the endpoints.
+        reach: Whether the gateway reaches the endpoints; not run.
         has_owner: Whether the owner of the slots replies.
         crashes: Digests of requests that were reported as crashes.
         metrics: Metrics of the gateway.
@@ -135,7 +153,9 @@
         self.selector = EndpointSelector(
             AvailabilityZone('north'), 'east', {}, clock, random.Random(1)
         )
-        self.connections = ConnectionPool(clock, lambda _: None)
+        self.reach = make_reach(self.selector.staying, clock, self.metrics)
+        dialer = Dialer(self.reach, None, clock)
+        self.connections = ConnectionPool(dialer, clock, lambda _: None)
         self.quota = Quota(_grant_no_tokens, 500, clock)
         self.slots = SlotOwner(clock)
         self.limits = EndpointLimits(self._request_slot, clock)
@@ -171,11 +191,18 @@
                 clock,
                 self.metrics,
                 lambda digest, _: self.crashes.append(digest),
+                dialer,
+                self.reach,
             ),
             clock=clock,
             metrics=self.metrics,
         )
 
+    def use_dialer(self, dialer: Dialer) -> None:
+        """Replace the dialer of the gateway and of its connections."""
+        self.connections._dialer = dialer
+        self.gateway._forwarder._dialer = dialer
+
     async def _request_slot(self, req: SlotRequest) -> SlotReply:
         if not self.has_owner:
             raise CallError(ErrorCode.HOME_UNREACHABLE, 'nobody answers')
--- a/tests/forwarding/test_connections.py
+++ b/tests/forwarding/test_connections.py
@@ -13,6 +13,7 @@
 from acaciaramp.forwarding.connections import Connection, ConnectionPool
 from acaciaramp.verdicts import Verdict
 from tests.forwarding.endpoint import ScriptedEndpoint
+from tests.forwarding.harness import make_dialer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -28,7 +29,10 @@
 
 def run(scenario: Scenario, clock: ManualClock | None = None) -> None:
     async def main() -> None:
-        pool = ConnectionPool(clock or ManualClock(), lambda _: MAX_CONNECTIONS)
+        pool_clock = clock or ManualClock()
+        pool = ConnectionPool(
+            make_dialer(pool_clock), pool_clock, lambda _: MAX_CONNECTIONS
+        )
         async with ScriptedEndpoint(lambda _: []).serving() as endpoint:
             await scenario(pool, endpoint)
 
@@ -52,7 +56,8 @@
 
 def test_a_failed_connection_does_not_count_towards_the_limit() -> None:
     async def main() -> None:
-        pool = ConnectionPool(ManualClock(), lambda _: 1)
+        clock = ManualClock()
+        pool = ConnectionPool(make_dialer(clock), clock, lambda _: 1)
         fake = ScriptedEndpoint(lambda _: [])
         async with fake.serving() as served:
             endpoint = served
--- /dev/null
+++ b/tests/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections to endpoints through peers."""
