Decode the instance list entry by entry, and check the range of each field

One deeply nested entry made the whole page undecodable (RecursionError), so that the list was not followed while it stood there, on both readers of lists; on that of 'acaciaramp serve' any odd row did. Ports 0, -1 and 99999, names of hosts, numbers of more than 64 bits and control characters in ids were taken over: to connect to such a port raises an exception that is no OSError, and a view with such a number cannot be encoded for a peer.

What is nested more than 16 deep is read as null if a page cannot be decoded otherwise, entries and rows are decoded one by one, and every field has its range where it is decoded.

--- a/src/acaciaramp/fakes/instances.py
+++ b/src/acaciaramp/fakes/instances.py
@@ -10,7 +10,6 @@
 from starlette.routing import Route
 
 from acaciaramp.membership.instance_list import (
-    InstanceList,
     InstanceStatus,
     ListedInstance,
 )
@@ -71,7 +70,7 @@
                 rows = version
         instances = [ListedInstance(name, rows[name]) for name in sorted(rows)]
         return Response(
-            msgspec.json.encode(InstanceList(instances)),
+            msgspec.json.encode({'instances': instances}),
             media_type='application/json',
         )
 
--- a/src/acaciaramp/membership/instance_list.py
+++ b/src/acaciaramp/membership/instance_list.py
@@ -10,6 +10,7 @@
 from acaciaramp.endpoints.failures import EndpointError
 from acaciaramp.endpoints.http import HttpRequest
 from acaciaramp.errors import AcaciarampError
+from acaciaramp.util.jsondepth import decode_limited
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
 _POLL_PERIOD_MS = 500
 _RESPONSE_TIMEOUT_MS = 1_000
 _TOTAL_TIMEOUT_MS = 3_000
+# A row has one level of its own within the list.
+_MAX_DEPTH = 16
 _OK = 200
 
 
@@ -52,10 +55,15 @@
     """Response of the platform's instance list.
 
     Attributes:
-        instances: Every instance that the platform knows.
+        instances: Every instance that the platform knows; each is decoded by
+            itself, as any may be invalid.
     """
 
-    instances: list[ListedInstance]
+    instances: list[msgspec.Raw]
+
+
+_row_decoder = msgspec.json.Decoder(ListedInstance)
+_list_decoder = msgspec.json.Decoder(InstanceList)
 
 
 class InstanceListError(AcaciarampError):
@@ -107,7 +115,7 @@
             async with self._http.send(req) as response:
                 status = response.status
                 body = await response.read_body()
-            listed = _decode(status, body)
+            rows = _decode(status, body)
         except (EndpointError, InstanceListError) as exc:
             logger.warning(
                 'Could not read the instance list; keeping the last one.',
@@ -115,9 +123,7 @@
             )
             return
         leaving = frozenset(
-            row.id
-            for row in listed.instances
-            if row.standing is InstanceStatus.LEAVING
+            row.id for row in rows if row.standing is InstanceStatus.LEAVING
         )
         for endpoint in leaving - self._leaving:
             logger.info(
@@ -127,8 +133,8 @@
         self._leaving = leaving
 
 
-def _decode(status: int, body: bytes) -> InstanceList:
-    """Decode the response of the list.
+def _decode(status: int, body: bytes) -> list[ListedInstance]:
+    """Decode the response of the list; invalid rows are skipped and logged.
 
     Raises:
         InstanceListError: It is not a list.
@@ -136,6 +142,15 @@
     if status != _OK:
         raise InstanceListError(f'the list answers {status}')
     try:
-        return msgspec.json.decode(body, type=InstanceList)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        listed = decode_limited(_list_decoder, body, _MAX_DEPTH)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise InstanceListError(f'malformed: {exc}') from None
+    rows = []
+    for entry in listed.instances:
+        try:
+            rows.append(_row_decoder.decode(entry))
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            logger.warning(
+                'An invalid row of the instance list is skipped.', reason=exc
+            )
+    return rows
--- a/src/acaciaramp/platform/instances.py
+++ b/src/acaciaramp/platform/instances.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Literal
+import ipaddress
+from typing import TYPE_CHECKING, Annotated, Literal
 from urllib.parse import quote
 
 import msgspec
@@ -13,8 +14,9 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import AvailabilityZone, EndpointId, ServiceName
 from acaciaramp.metrics.names import BadInput, Counter
-from acaciaramp.settings.node import split_address
+from acaciaramp.util.jsondepth import decode_limited
 from acaciaramp.util.logs import get_logger
+from acaciaramp.util.numbers import MAX_COUNT, parse_count
 
 if TYPE_CHECKING:
     from acaciaramp.clock import Clock
@@ -25,11 +27,23 @@
 
 _RESPONSE_TIMEOUT_MS = 1_000
 _MAX_PAGE_BYTES = 4_194_304
+# An entry of the list has two levels of its own within the page.
+_MAX_DEPTH = 16
 # A list whose pages never end is not read any further.
 _MAX_PAGES = 1_000
+_MAX_PORT = 65_535
+_MAX_SLOTS = 1_000_000
+_MAX_VERSION_LENGTH = 256
 _OK = 200
 
 
+# Names are passed on in headers and to peers.
+_Name = Annotated[str, msgspec.Meta(pattern='^[!-~]{1,256}$')]
+_Version = Annotated[str, msgspec.Meta(max_length=_MAX_VERSION_LENGTH)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+_WallMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
+
 class _Page(msgspec.Struct):
     """One page of the list; ``next`` is the token of the next page.
 
@@ -47,16 +61,18 @@
     clock, ms.
     """
 
-    id: str
-    service: str
+    id: _Name
+    service: _Name
     address: str
-    zone: str
-    slots: int
+    zone: _Name
+    slots: _Slots
     state: Literal['ready', 'draining']
-    version: str = ''
-    born: int = 0
+    version: _Version = ''
+    born: _WallMs = 0
 
 
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError)
+_ENTRY_ERRORS = (*_DECODE_ERRORS, RecursionError, ValueError)
 _page_decoder = msgspec.json.Decoder(_Page)
 _instance_decoder = msgspec.json.Decoder(_Instance)
 
@@ -100,7 +116,7 @@
     for entry in entries:
         try:
             endpoints.append(_endpoint(_instance_decoder.decode(entry)))
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+        except _ENTRY_ERRORS as exc:
             metrics.count(Counter.BAD_INPUT, BadInput.LIST_ENTRY)
             logger.info(
                 'An invalid entry of the instance list is skipped.', why=exc
@@ -125,13 +141,22 @@
     if status != _OK:
         raise CallError(ErrorCode.NO_ENDPOINT, f'the list answers {status}')
     try:
-        return _page_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        return decode_limited(_page_decoder, body, _MAX_DEPTH)
+    except _DECODE_ERRORS as exc:
         raise CallError(ErrorCode.NO_ENDPOINT, f'malformed: {exc}') from None
 
 
 def _endpoint(wire: _Instance) -> Endpoint:
-    host, port = split_address(wire.address)
+    """Return the endpoint of an entry.
+
+    Raises:
+        ValueError: Its address is none.
+    """
+    host, _, port_text = wire.address.rpartition(':')
+    port = parse_count(port_text)
+    if port is None or not 0 < port <= _MAX_PORT:
+        raise ValueError(f'expected a TCP port, got "{port_text}"')
+    ipaddress.ip_address(host)
     return Endpoint(
         id=EndpointId(wire.id),
         service=ServiceName(wire.service),
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the instance list of ``acaciaramp serve``."""
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -29,7 +29,19 @@
     VALID.replace(b'10.0.0.9:80', b'nowhere'),
     VALID.replace(b'10.0.0.9:80', b'10.0.0.9:x'),
     VALID.replace(b'"i-1"', b'null'),
+    VALID.replace(b'"i-1"', rb'"i-1\r\nx: 1"'),
+    VALID.replace(b'10.0.0.9:80', b'10.0.0.9:0'),
+    VALID.replace(b'10.0.0.9:80', b'10.0.0.9:-1'),
+    VALID.replace(b'10.0.0.9:80', b'10.0.0.9:99999'),
+    VALID.replace(b'10.0.0.9:80', b'10.0.0.9:8_0'),
+    VALID.replace(b'10.0.0.9:80', b'some.host:80'),
+    VALID.replace(b'"slots":12', b'"slots":-1'),
+    VALID.replace(b'"slots":12', b'"slots":1e400'),
+    VALID.replace(b'"slots":12', b'"slots":36893488147419103232'),
+    VALID.replace(b'"born":5', b'"born":36893488147419103232'),
+    VALID.replace(b'"born":5', b'"born":-5'),
 )
+DEPTH = 100_000
 
 
 def test_invalid_entries_are_skipped() -> None:
@@ -42,6 +54,29 @@
     assert found.version == 'v1'
 
 
+@pytest.mark.parametrize(
+    'odd',
+    [
+        b'[' * DEPTH + b']' * DEPTH,
+        b'{"a":' * DEPTH + b'1' + b'}' * DEPTH,
+        VALID[:-1] + b',"more":' + b'[' * DEPTH + b']' * DEPTH + b'}',
+    ],
+)
+def test_a_deeply_nested_entry_does_not_hide_the_others(odd: bytes) -> None:
+    entries = b','.join((odd, VALID.replace(b'i-1', b'i-2')))
+
+    def page(request: ReceivedRequest) -> list[bytes | None]:
+        return [response_to(request, b'{"instances":[%s]}' % entries)]
+
+    async def scenario() -> list[str]:
+        async with ScriptedEndpoint(page).serving() as endpoint:
+            address = f'{endpoint.host}:{endpoint.port}'
+            read = make_reader(address, SystemClock(), Metrics())
+            return [found.id for found in await read()]
+
+    assert 'i-2' in anyio.run(scenario)
+
+
 def test_list_whose_pages_never_end_is_an_error() -> None:
     page = b'{"instances":[],"next":"again"}'
 
