Believe a refusal only if it answers the request that was sent

It could happen here: the word that a request was not run was taken from a response before its request id was compared, so that a refusal of another request made the gateway send the request to a second endpoint, or tell the caller to come back.

The id is compared first now; a response to another request, or to none, says nothing of this one, nor of the endpoint's load or limit. A refusal of the same request cannot come from an earlier attempt, since a connection is closed after a refusal. The test got 503 after two endpoints had the request, and gets 502 after one.

--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -214,7 +214,14 @@
                 another one, or sent a status that tells callers that a
                 request was not executed without confirming that.
         """
-        self._record_limit(call, endpoint, head)
+        if head.attempt != call.inbound.attempt:
+            self._metrics.count(Counter.BAD_INPUT, BadInput.STRAY_ANSWER)
+            raise EndpointError(
+                Failure.MALFORMED,
+                Verdict.MAY_HAVE_RUN,
+                f'an answer to "{head.attempt}" came',
+            )
+        self._record_limit(endpoint, head)
         if head.load is not None:
             self._selector.record_load(endpoint, head.load)
         if head.is_not_run:
@@ -223,13 +230,6 @@
                 Verdict.NOT_RUN,
                 f'the endpoint did not run it: {head.status}',
             )
-        if head.attempt != call.inbound.attempt:
-            self._metrics.count(Counter.BAD_INPUT, BadInput.STRAY_ANSWER)
-            raise EndpointError(
-                Failure.MALFORMED,
-                Verdict.MAY_HAVE_RUN,
-                f'an answer to "{head.attempt}" came',
-            )
         if head.status in _NOT_RUN_STATUSES:
             raise EndpointError(
                 Failure.SERVER_ERROR,
@@ -237,12 +237,9 @@
                 f'status {head.status} without the word that it was not run',
             )
 
-    def _record_limit(
-        self, call: Call, endpoint: Endpoint, head: ResponseHead
-    ) -> None:
+    def _record_limit(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Record the limit in a response; a refusal without one ends none."""
-        is_silent = head.is_not_run and head.limit_per_s is None
-        if head.attempt == call.inbound.attempt and not is_silent:
+        if head.limit_per_s is not None or not head.is_not_run:
             self._limits.record(endpoint, head.limit_per_s)
 
     def _record_failure(
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -120,6 +120,19 @@
     run(NON_IDEMPOTENT, scenario, mismatched)
 
 
+def test_a_refusal_of_another_request_is_not_believed() -> None:
+    def repeated_refusal(_: ReceivedRequest) -> list[bytes | None]:
+        earlier = ReceivedRequest(b'x-attempt-id: earlier', b'', 1)
+        return refused(earlier)
+
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        assert (await harness.request()).status == 502
+        assert sum(len(fake.received) for fake in fakes) == 1
+        assert harness.metrics.counts['bad_input.stray_answer'] == 1
+
+    run(NON_IDEMPOTENT, scenario, repeated_refusal, repeated_refusal)
+
+
 def test_a_response_without_an_id_is_not_relayed() -> None:
     def without_id(_: ReceivedRequest) -> list[bytes | None]:
         return [b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok']
