Test that an instance out of step joins no stream with another version

The test has a stream begin at a new version and resumes it at an instance that lists the old one only; it fails if resumed streams do not require their version.

--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -95,6 +95,25 @@
     run(RESUMABLE, scenario, cut_after_one_event, streamed)
 
 
+def test_an_instance_out_of_step_joins_no_stream_with_an_older_version() -> (
+    None
+):
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        old, new = with_versions(harness, 'v1', 'v2')
+        harness.selector.replace_endpoints((old, new))
+        harness.selector.record_start(old, '')
+        assert not (await harness.request('a1')).is_complete
+        assert len(fakes[1].received) == 1
+        async with anyio.create_task_group() as tasks:
+            stale = Harness(tasks, RESUMABLE, harness.ledger)
+            stale.selector.replace_endpoints((old,))
+            caller = await resume(stale)
+        assert caller.status == 503
+        assert not fakes[0].received
+
+    run(RESUMABLE, scenario, streamed, cut_after_one_event)
+
+
 @pytest.mark.parametrize('resumed', [b'never', b''])
 def test_a_stream_of_unknown_origin_is_refused(resumed: bytes) -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
