Send nothing new to an endpoint that says that it is leaving

Nothing read the header: with a list that is late or cut off, requests went on.

The codec decodes it into a field of the response head, and the selector keeps one account of leaving endpoints with two sources. The endpoint's word counts until the list shows it gone or started anew. A misdirected response says nothing, a repeated header counts once, another value is logged and ignored.

Before, tests/forwarding/test_gateway.py sent all four requests to the leaving endpoint (one now), and the tests of the selector and the codec used what is new.

--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -221,6 +221,8 @@
                 Verdict.MAY_HAVE_RUN,
                 f'an answer to "{head.attempt}" came',
             )
+        if head.is_leaving:
+            self._selector.record_leaving(endpoint)
         self._record_limit(endpoint, head)
         if head.load is not None:
             self._selector.record_load(endpoint, head.load)
--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -102,6 +102,7 @@
         length: Content length, bytes; None if unknown.
         limit_per_s: Requests per second that the endpoint accepts from all
             instances together; None if it states no limit.
+        is_leaving: Whether the endpoint says that it is leaving.
     """
 
     status: int
@@ -112,6 +113,7 @@
     idle_ms: int | None = None
     length: int | None = None
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class Codec(Protocol):
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from acaciaramp.coordination.messages import Endpoint
 from acaciaramp.ids import ServiceName
 from acaciaramp.util.logs import get_logger
 
@@ -21,7 +22,6 @@
     from collections.abc import Collection, Mapping
 
     from acaciaramp.clock import Clock
-    from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.messages import EndpointLoad
     from acaciaramp.ids import AvailabilityZone, EndpointId
 
@@ -63,6 +63,22 @@
     paused_until_ms: int = 0
 
 
+class _LeavingEndpoint(msgspec.Struct, frozen=True):
+    """An endpoint that must get no new requests.
+
+    Attributes:
+        endpoint: The endpoint.
+        since_ms: When this instance learned that it is leaving.
+        has_said_so: Whether the endpoint itself has said so. Its word counts
+            whatever the list says, which may be late, until the list shows that
+            it is gone or has started anew.
+    """
+
+    endpoint: Endpoint
+    since_ms: int
+    has_said_so: bool
+
+
 class EndpointQuery(msgspec.Struct, frozen=True, kw_only=True):
     """What a request needs of its endpoint, and what it prefers.
 
@@ -117,8 +133,7 @@
         self._clock = clock
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
         self._by_id: dict[EndpointId, Endpoint] = {}
-        # Leaving endpoints with the time at which each was first listed as such.
-        self._leaving: dict[Endpoint, int] = {}
+        self._leaving: dict[EndpointId, _LeavingEndpoint] = {}
         self._states: dict[str, _EndpointState] = collections.defaultdict(
             _EndpointState
         )
@@ -136,15 +151,14 @@
         first call after its last request has ended.
         """
         by_service: dict[ServiceName, list[Endpoint]] = {}
+        leaving: dict[EndpointId, _LeavingEndpoint] = {}
         for item in endpoints:
-            if not item.is_leaving:
+            entry = self._leaving_entry(item)
+            if entry is None:
                 by_service.setdefault(item.service, []).append(item)
-        now_ms = self._clock.now_ms()
-        self._leaving = {
-            endpoint: self._leaving.get(endpoint, now_ms)
-            for endpoint in endpoints
-            if endpoint.is_leaving
-        }
+            else:
+                leaving[item.id] = entry
+        self._leaving = leaving
         self._log_changes(by_service)
         self._by_service = by_service
         self._by_id = {endpoint.id: endpoint for endpoint in endpoints}
@@ -249,6 +263,27 @@
         state.foreign = max(0, load.running + load.waiting - state.in_flight)
         state.reported_ms = self._clock.now_ms()
 
+    def record_leaving(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint has said in a response that it is leaving."""
+        known = self._leaving.get(endpoint.id)
+        if known is not None and known.has_said_so:
+            return
+        logger.info(
+            'An endpoint says that it is leaving; sending it no new requests.',
+            endpoint=endpoint.id,
+            is_listed_as_leaving=known is not None,
+        )
+        since_ms = self._clock.now_ms() if known is None else known.since_ms
+        self._leaving[endpoint.id] = _LeavingEndpoint(
+            endpoint, since_ms, has_said_so=True
+        )
+        group = self._by_service.get(endpoint.service, [])
+        self._by_service[endpoint.service] = [
+            item for item in group if item.id != endpoint.id
+        ]
+        if not self._by_service[endpoint.service]:
+            self._by_service.pop(endpoint.service)
+
     def record_success(self, endpoint: Endpoint) -> None:
         """Record a response of an endpoint; this ends its backoff."""
         state = self._states[endpoint.id]
@@ -289,13 +324,24 @@
             return staying
         oldest_ms = self._clock.now_ms() - self._leaving_grace_ms
         return [
-            endpoint
-            for endpoint, since_ms in self._leaving.items()
-            if endpoint.service == query.service
-            and query.allows(endpoint)
-            and since_ms > oldest_ms
+            entry.endpoint
+            for entry in self._leaving.values()
+            if entry.endpoint.service == query.service
+            and query.allows(entry.endpoint)
+            and entry.since_ms > oldest_ms
         ]
 
+    def _leaving_entry(self, listed: Endpoint) -> _LeavingEndpoint | None:
+        """Return the entry of a listed endpoint that is leaving, else None."""
+        known = self._leaving.get(listed.id)
+        if known is not None and not _is_same_start(known.endpoint, listed):
+            known = None
+        has_said_so = known is not None and known.has_said_so
+        if not listed.is_leaving and not has_said_so:
+            return None
+        since_ms = self._clock.now_ms() if known is None else known.since_ms
+        return _LeavingEndpoint(listed, since_ms, has_said_so)
+
     def _warm_id(self, query: EndpointQuery) -> str | None:
         """Return the endpoint that is expected to be warm for a request."""
         known = self._endpoint_by_affinity.get(query.affinity_key)
@@ -335,5 +381,14 @@
             )
 
 
+def _is_same_start(first: Endpoint, second: Endpoint) -> bool:
+    """Return whether two entries of one id are of the same start."""
+    return _start(first) == _start(second)
+
+
+def _start(endpoint: Endpoint) -> tuple[str, int, int, str]:
+    return endpoint.host, endpoint.port, endpoint.born_ms, endpoint.version
+
+
 def _ids(by_service: dict[ServiceName, list[Endpoint]]) -> set[str]:
     return {item.id for group in by_service.values() for item in group}
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -16,6 +16,7 @@
 )
 from acaciaramp.ids import ProgramId
 from acaciaramp.platform.statuses import http_status
+from acaciaramp.util.logs import get_logger
 from acaciaramp.util.numbers import parse_count, parse_decimal
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
     from acaciaramp.forwarding.messages import RawHeaders
     from acaciaramp.ids import WorkspaceId
 
+logger = get_logger('gateway')
+
 _ATTEMPT = b'x-attempt-id'
 _DEADLINE = b'x-deadline-ms'
 _EXPECT_INSTANCE = b'x-expect-instance'
@@ -31,6 +34,7 @@
 _BEARER = b'bearer '
 _HOST = b'host'
 _CONTENT_LENGTH = b'content-length'
+_LEAVING = b'server-leaving'
 
 # Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP = frozenset(
@@ -149,6 +153,7 @@
             idle_ms=idle_ms,
             length=_int_or_none(by_name, _CONTENT_LENGTH),
             limit_per_s=_request_limit(status, by_name),
+            is_leaving=_is_leaving(status, lowered),
         )
 
     def write_refusal(self, refusal: Refusal) -> tuple[int, RawHeaders, bytes]:
@@ -260,6 +265,24 @@
     return parse_decimal(_text(by_name, b'server-limit'))
 
 
+def _is_leaving(status: int, headers: RawHeaders) -> bool:
+    """Return whether the endpoint says that it is leaving.
+
+    Another endpoint may have sent the response to a misdirected request. A
+    header that is repeated counts once, one with another value not at all.
+    """
+    if status == _MISDIRECTED_STATUS:
+        return False
+    said = {text.strip() for name, text in headers if name == _LEAVING}
+    odd = said - {b'1'}
+    if odd:
+        logger.warning(
+            'An endpoint says in an unknown way that it is leaving; ignoring it.',
+            values=sorted(text.decode('latin-1') for text in odd),
+        )
+    return b'1' in said
+
+
 def _keep_alive_ms(text: str) -> int | None:
     """Return the ``timeout`` of a ``Keep-Alive`` header, milliseconds."""
     for item in text.split(','):
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -133,6 +133,24 @@
     run(NON_IDEMPOTENT, scenario, repeated_refusal, repeated_refusal)
 
 
+@pytest.mark.parametrize('status', ['200 OK', SERVER_ERROR])
+def test_an_endpoint_that_says_it_is_leaving_gets_no_more_requests(
+    status: str,
+) -> None:
+    def leaving(request: ReceivedRequest) -> list[bytes | None]:
+        head = 'server-leaving: 1\r\n'
+        return [response_to(request, b'last', status, head)]
+
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        harness.selector.record_start(harness.endpoints[1], '')
+        await harness.request('a1')
+        callers = [await harness.request(f'b{number}') for number in range(3)]
+        assert [caller.body for caller in callers] == [b'thing'] * 3
+        assert [len(fake.received) for fake in fakes] == [1, 3]
+
+    run(NON_IDEMPOTENT, scenario, leaving, complete)
+
+
 def test_a_response_without_an_id_is_not_relayed() -> None:
     def without_id(_: ReceivedRequest) -> list[bytes | None]:
         return [b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok']
--- a/tests/forwarding/test_selector.py
+++ b/tests/forwarding/test_selector.py
@@ -107,6 +107,36 @@
     assert chosen(selector, '', 'b') is None
 
 
+def test_the_word_of_a_leaving_endpoint_goes_before_a_late_list() -> None:
+    a, b = endpoint('a', born_ms=1), endpoint('b', 'south')
+    selector = selector_with(a, b, clock=ManualClock())
+    assert chosen(selector) == 'a'
+    selector.record_leaving(a)
+    assert chosen(selector) == 'b'
+    selector.replace_endpoints((a, b))
+    assert chosen(selector) == 'b'
+    assert not selector.is_candidate(a, EndpointQuery(service=build.MODEL))
+    selector.replace_endpoints((endpoint('a', born_ms=2), b))
+    assert chosen(selector) == 'a'
+
+
+def test_an_endpoint_that_is_listed_again_after_it_was_gone_is_used() -> None:
+    a, b = endpoint('a'), endpoint('b', 'south')
+    selector = selector_with(a, b, clock=ManualClock())
+    selector.record_leaving(a)
+    selector.replace_endpoints((b,))
+    selector.replace_endpoints((a, b))
+    assert chosen(selector) == 'a'
+
+
+def test_a_service_whose_last_endpoint_leaves_has_none() -> None:
+    only = endpoint('a')
+    selector = selector_with(only, clock=ManualClock())
+    selector.record_leaving(only)
+    assert chosen(selector) is None
+    assert not selector.has_endpoints
+
+
 def test_a_failed_endpoint_is_backed_off() -> None:
     clock = ManualClock()
     a, b = endpoint('a'), endpoint('b', 'south')
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -204,6 +204,27 @@
     assert head.headers == [(b'server-limit', text.encode())]
 
 
+@pytest.mark.parametrize(
+    ('status', 'values', 'is_leaving'),
+    [
+        (200, ['1'], True),
+        (503, [' 1 '], True),
+        (200, ['1', '1'], True),
+        (200, ['no', '1'], True),
+        (421, ['1'], False),
+        (200, ['yes'], False),
+        (200, ['0'], False),
+        (200, [''], False),
+        (200, [], False),
+    ],
+)
+def test_the_word_of_a_leaving_endpoint_is_decoded(
+    status: int, values: list[str], *, is_leaving: bool
+) -> None:
+    headers = [(b'Server-Leaving', text.encode()) for text in values]
+    assert CODEC.read_response(status, headers).is_leaving is is_leaving
+
+
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
 
