Take a stream that ends within an event for one that was broken off

Such a stream was handed on as complete, and a retained turn would have kept its whole events as if they were all.

The collector of events knows whether the stream is within an event, with any line end (CR alone, and CRLF cut in two, as well); the relay does not end such a response, so that the caller sees that it is truncated, and the turn is not stored.

Before, the two cases of a stream that ends within an event were complete for the caller, and events with CR alone were not counted. Not done: a caller that speaks HTTP/1.0 gets such a stream until its connection closes; acaciaramp serve was not examined.

--- a/src/acaciaramp/conversations/events.py
+++ b/src/acaciaramp/conversations/events.py
@@ -5,11 +5,16 @@
 
 from __future__ import annotations
 
+import re
+
 from acaciaramp.errors import AcaciarampError
 
 MAX_EVENT_BYTES = 262_144
 MAX_CONTENT_BYTES = 4_194_304
 _DATA = b'data:'
+_CR = b'\r'
+_LF = b'\n'
+_LINE_END = re.compile(rb'\r\n|\r|\n')
 
 
 class StreamTooLargeError(AcaciarampError):
@@ -37,6 +42,13 @@
         self._partial_line = b''
         self._data: list[bytes] = []
         self._data_bytes = 0
+        self._has_lines = False
+        self._ends_with_cr = False
+
+    @property
+    def is_within_event(self) -> bool:
+        """Whether the stream would be broken off if it ended here."""
+        return self._has_lines or bool(self._partial_line)
 
     def feed(self, part: bytes) -> None:
         """Process the next bytes of the stream, cut at any position.
@@ -45,10 +57,15 @@
             StreamTooLargeError: An event has more than ``MAX_EVENT_BYTES``, or
                 more than ``MAX_CONTENT_BYTES`` would be collected.
         """
-        *lines, partial = (self._partial_line + part).split(b'\n')
+        if self._ends_with_cr:
+            # The carriage return has ended the line already.
+            part = part.removeprefix(_LF)
+        text = self._partial_line + part
+        self._ends_with_cr = text.endswith(_CR)
+        *lines, partial = _LINE_END.split(text)
         self._partial_line = partial
         for line in lines:
-            self._process_line(line.removesuffix(b'\r'))
+            self._process_line(line)
         if self._data_bytes + len(partial) > MAX_EVENT_BYTES:
             raise StreamTooLargeError(
                 f'an event of the stream exceeds {MAX_EVENT_BYTES} bytes'
@@ -59,6 +76,7 @@
             )
 
     def _process_line(self, line: bytes) -> None:
+        self._has_lines = bool(line)
         if line.startswith(_DATA):
             self._data.append(line.removeprefix(_DATA).removeprefix(b' '))
             self._data_bytes += len(line)
--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -125,6 +125,12 @@
                 last = part
             else:
                 await self._caller.write(part)
+        if self.events.is_within_event:
+            raise EndpointError(
+                Failure.MALFORMED,
+                Verdict.MAY_HAVE_RUN,
+                'the stream ended within an event',
+            )
         await self._before_finish(self)
         await self._caller.finish(last)
 
