Drain the tunnels of peers at a stop, and check the reach with one dial first

An entry that stops ended the tunnels that run through it when its own requests had ended, and opened new ones until then; a peer's request on such a tunnel would be cut by a planned stop. New tunnels are refused at the stop now, and the process waits for open ones within its grace period.

A check of the reach dialled four endpoints at once, although the first one answers most of the time; new connections are priced.

tests/tunnels: a peer that stops opens no tunnel; this failed before, as there was no such state. The tests of forwarding, tunnels and roles pass.

--- a/src/acaciaramp/forwarding/reach.py
+++ b/src/acaciaramp/forwarding/reach.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from acaciaramp.clock import MS_PER_SECOND
 from acaciaramp.endpoints.dialing import dial
 from acaciaramp.endpoints.failures import EndpointError
 from acaciaramp.metrics.names import Counter
@@ -35,6 +36,9 @@
 _TICK_MS = 100
 # Endpoints that are dialled at once to check the reach.
 _SAMPLE_SIZE = 4
+# The next of them is dialled as well if one has not answered after this time: most
+# checks end with the first one.
+_STAGGER_MS = 50
 # Pause between two checks.
 _CHECK_PERIOD_MS = 500
 
@@ -155,17 +159,21 @@
         reached: list[EndpointId] = []
         async with anyio.create_task_group() as tasks:
 
-            async def attempt(endpoint: Endpoint) -> None:
+            async def attempt(endpoint: Endpoint, failed: anyio.Event) -> None:
                 try:
                     stream = await dial(
                         endpoint.host, endpoint.port, DIAL_TIMEOUT_MS
                     )
                 except EndpointError:
+                    failed.set()
                     return
                 reached.append(endpoint.id)
                 await stream.aclose()
                 tasks.cancel_scope.cancel()
 
             for endpoint in sample:
-                tasks.start_soon(attempt, endpoint)
+                failed = anyio.Event()
+                tasks.start_soon(attempt, endpoint, failed)
+                with anyio.move_on_after(_STAGGER_MS / MS_PER_SECOND):
+                    await failed.wait()
         return bool(reached)
--- a/src/acaciaramp/roles/endpoint_paths.py
+++ b/src/acaciaramp/roles/endpoint_paths.py
@@ -71,6 +71,15 @@
         if cfg.tunnel_port is not None:
             tasks.start_soon(self._server.serve, cfg.host, cfg.tunnel_port)
 
+    @property
+    def is_serving_peers(self) -> bool:
+        """Whether tunnels of peers run through this instance."""
+        return bool(self._server.open_tunnels)
+
+    def stop(self) -> None:
+        """Open no more tunnels for peers."""
+        self._server.is_stopping = True
+
     def replace_peers(self, view: View) -> None:
         """Take the entry instances of a view as peers, but for this one."""
         port = self._context.cfg.tunnel_port or 0
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -186,6 +186,7 @@
         async with running_server(self._app, sockets, protocol) as server:
             await stop.wait()
             self._gateway.is_stopping = True
+            self._paths.stop()
             logger.info(
                 'Stopping; reporting not ready, then draining requests.',
                 under_way=self._gateway.in_flight,
@@ -232,7 +233,8 @@
         await self._context.clock.sleep_ms(_DRAIN_POLL_MS)
 
     def _is_busy(self) -> bool:
-        return bool(self._gateway.in_flight or self._turns.pending_settlements)
+        has_work = self._gateway.in_flight or self._turns.pending_settlements
+        return bool(has_work or self._paths.is_serving_peers)
 
     async def _run_ticks(self) -> None:
         context = self._context
--- a/src/acaciaramp/tunnels/messages.py
+++ b/src/acaciaramp/tunnels/messages.py
@@ -38,7 +38,7 @@
         OPEN: Bytes may follow.
         UNLISTED: The peer does not know the endpoint.
         UNREACHABLE: The peer does not reach the endpoint.
-        BUSY: The peer serves as many tunnels as it may.
+        BUSY: The peer stops, or serves as many tunnels as it may.
     """
 
     OPEN = 'open'
--- a/src/acaciaramp/tunnels/server.py
+++ b/src/acaciaramp/tunnels/server.py
@@ -54,6 +54,10 @@
 
     Only listed endpoints are dialled. If this instance does not reach the
     endpoints either, peers are refused at once.
+
+    Attributes:
+        open_tunnels: Number of connections of peers.
+        is_stopping: Whether new tunnels are refused, as the process stops.
     """
 
     def __init__(
@@ -75,7 +79,8 @@
         self._is_lost = is_lost
         self._clock = clock
         self._metrics = metrics
-        self._open_tunnels = 0
+        self.open_tunnels = 0
+        self.is_stopping = False
 
     async def serve(self, host: str, port: int) -> None:
         """Accept tunnels on a port until cancelled."""
@@ -90,14 +95,14 @@
         raw = stream.extra(SocketAttribute.raw_socket)  # noqa: S610
         for option in SOCKET_OPTIONS:
             raw.setsockopt(*option)
-        self._open_tunnels += 1
+        self.open_tunnels += 1
         try:
             async with stream:
                 await self._serve_tunnel(stream)
         except _TUNNEL_ERRORS as exc:
             logger.info('A tunnel of a peer was broken off.', reason=repr(exc))
         finally:
-            self._open_tunnels -= 1
+            self.open_tunnels -= 1
 
     async def _serve_tunnel(self, stream: SocketStream) -> None:
         with self._clock.timeout(_REQUEST_TIMEOUT_MS):
@@ -113,7 +118,7 @@
             'A peer asked for a tunnel to an endpoint.',
             endpoint=req.endpoint,
             outcome=outcome.value,
-            open_tunnels=self._open_tunnels,
+            open_tunnels=self.open_tunnels,
         )
         try:
             await stream.send(encode_message(TunnelReply(outcome)))
@@ -130,7 +135,7 @@
             return TunnelOutcome.UNLISTED
         if self._is_lost():
             return TunnelOutcome.UNREACHABLE
-        if self._open_tunnels > _MAX_TUNNELS:
+        if self.is_stopping or self.open_tunnels > _MAX_TUNNELS:
             return TunnelOutcome.BUSY
         return TunnelOutcome.OPEN
 
--- a/tests/tunnels/test_tunnel.py
+++ b/tests/tunnels/test_tunnel.py
@@ -153,6 +153,22 @@
     run(echo_once, scenario, is_lost=True)
 
 
+def test_a_peer_that_stops_opens_no_tunnel() -> None:
+    async def main() -> None:
+        async with listening(echo_once) as port:
+            endpoint = build.listed_endpoint('e-1', port=port)
+            server = TunnelServer(
+                lambda _: endpoint, bool, SystemClock(), Metrics()
+            )
+            server.is_stopping = True
+            async with listening(server.serve_connection) as peer_port:
+                peer = PeerAddress('127.0.0.1', peer_port)
+                with pytest.raises(TunnelError, match='busy'):
+                    await open_tunnel(peer, endpoint.id, SystemClock(), 1_000)
+
+    anyio.run(main)
+
+
 def make_opener(peers: dict[PeerAddress, AvailabilityZone]) -> TunnelOpener:
     opener = TunnelOpener(
         NORTH, REGIONS, ManualClock(), random.Random(1), Metrics()
