Name streams and messages of tunnels in the field's terms

No behaviour changes: a dialled stream is no longer called a route, streams on top of others share a wrapper, and log lines and comments say that endpoints cannot be reached. Tests of forwarding, tunnels and endpoints pass.

--- a/src/acaciaramp/endpoints/dialing.py
+++ b/src/acaciaramp/endpoints/dialing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from typing import Any
 
 import httpcore
 
@@ -33,6 +34,39 @@
 _backend = httpcore.AnyIOBackend()
 
 
+class StreamWrapper(httpcore.AsyncNetworkStream):
+    """A stream on top of another one; passes everything on."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        """Wrap a stream."""
+        self._stream = stream
+
+    # The signatures of ``read`` and ``write`` are those of the base class.
+    async def read(
+        self,
+        max_bytes: int,
+        timeout: float | None = None,  # noqa: ASYNC109
+    ) -> bytes:
+        """Read bytes; none at the end of the connection."""
+        return await self._stream.read(max_bytes, timeout)
+
+    async def write(
+        self,
+        buffer: bytes,
+        timeout: float | None = None,  # noqa: ASYNC109
+    ) -> None:
+        """Write bytes."""
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the stream."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return a property of the connection."""
+        return self._stream.get_extra_info(info)
+
+
 async def dial(
     host: str, port: int, timeout_ms: int
 ) -> httpcore.AsyncNetworkStream:
--- a/src/acaciaramp/forwarding/connections.py
+++ b/src/acaciaramp/forwarding/connections.py
@@ -7,7 +7,7 @@
 
 import httpcore
 
-from acaciaramp.endpoints.dialing import NETWORK_ERRORS
+from acaciaramp.endpoints.dialing import NETWORK_ERRORS, StreamWrapper
 from acaciaramp.endpoints.failures import EndpointError, Failure
 from acaciaramp.forwarding.buffers import too_long_error
 from acaciaramp.verdicts import Verdict
@@ -17,7 +17,7 @@
 
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
-    from acaciaramp.forwarding.dialer import Dialer, Route
+    from acaciaramp.forwarding.dialer import DialedStream, Dialer
     from acaciaramp.forwarding.messages import RawHeaders
     from acaciaramp.ids import ServiceName
 
@@ -37,7 +37,7 @@
     """The head of a response does not end."""
 
 
-class _BoundedStream(httpcore.AsyncNetworkStream):
+class _BoundedStream(StreamWrapper):
     """A network stream that limits the bytes before the end of a head.
 
     The HTTP parser limits each single head, but not the number of
@@ -48,8 +48,8 @@
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        super().__init__(stream)
         self.is_reading_head = False
-        self._stream = stream
         self._head_bytes = 0
 
     def start_head(self) -> None:
@@ -75,22 +75,6 @@
                 raise _HeadTooLongError
         return received
 
-    async def write(
-        self,
-        buffer: bytes,
-        timeout: float | None = None,  # noqa: ASYNC109
-    ) -> None:
-        """Write bytes."""
-        await self._stream.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        """Close the stream."""
-        await self._stream.aclose()
-
-    def get_extra_info(self, info: str) -> Any:
-        """Return a property of the stream."""
-        return self._stream.get_extra_info(info)
-
 
 class Connection:
     """A connection to an endpoint, used by one request at a time.
@@ -101,13 +85,13 @@
         peer: Host of the peer that it runs through; None if it is direct.
     """
 
-    def __init__(self, origin: httpcore.Origin, route: Route) -> None:
-        """Create the connection on an open route to the endpoint."""
+    def __init__(self, origin: httpcore.Origin, dialed: DialedStream) -> None:
+        """Create the connection on an open stream to the endpoint."""
         self.idle_ms = _DEFAULT_IDLE_MS
         self.last_used_ms = 0
-        self.peer = None if route.peer is None else route.peer.host
+        self.peer = None if dialed.peer is None else dialed.peer.host
         self._origin = origin
-        self._stream = _BoundedStream(route.stream)
+        self._stream = _BoundedStream(dialed.stream)
         self._http = httpcore.AsyncHTTP11Connection(origin, self._stream)
 
     async def send(
@@ -230,8 +214,8 @@
     def _is_usable(self, conn: Connection) -> bool:
         """Return whether a request may be sent on an idle connection.
 
-        One that takes another way than a new one would is not used: the direct
-        ones may be dead, and the detour is longer.
+        A direct one may be dead while new ones run through peers, and one through
+        a peer is slower than a direct one.
         """
         if (conn.peer is not None) != self._dialer.uses_tunnels:
             return False
@@ -274,9 +258,9 @@
             raise
 
     async def _connect(self, endpoint: Endpoint) -> Connection:
-        route = await self._dialer.open(endpoint)
+        dialed = await self._dialer.open(endpoint)
         origin = httpcore.Origin(b'http', endpoint.host.encode(), endpoint.port)
-        return Connection(origin, route)
+        return Connection(origin, dialed)
 
 
 async def iter_body(resp: httpcore.Response) -> AsyncIterator[bytes]:
--- a/src/acaciaramp/forwarding/dialer.py
+++ b/src/acaciaramp/forwarding/dialer.py
@@ -22,7 +22,7 @@
 CONNECT_TIMEOUT_MS = 700
 
 
-class Route(NamedTuple):
+class DialedStream(NamedTuple):
     """An open connection to an endpoint.
 
     Attributes:
@@ -43,7 +43,7 @@
         """Create the dialer.
 
         Args:
-            reach: Whether this instance reaches endpoints itself.
+            reach: Whether this instance can reach endpoints itself.
             tunnels: Opens tunnels through peers; None for direct connections
                 only.
             clock: Source of time.
@@ -59,34 +59,35 @@
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether neither this instance nor any of its peers reaches endpoints."""
+        """Whether neither this instance nor a peer can reach endpoints."""
         if self._tunnels is None or not self._reach.is_lost:
             return False
         return not self._tunnels.has_peers
 
-    async def open(self, endpoint: Endpoint) -> Route:
+    async def open(self, endpoint: Endpoint) -> DialedStream:
         """Open a connection to an endpoint.
 
-        A direct attempt is given up for a tunnel once the reach is lost.
+        A direct attempt is replaced by a tunnel once this instance has found that
+        it cannot reach endpoints.
 
         Raises:
             EndpointError: There is no connection; nothing was sent.
         """
         if not self.uses_tunnels:
-            route = await self._open_directly(endpoint)
-            if route is not None:
-                return route
+            dialed = await self._open_directly(endpoint)
+            if dialed is not None:
+                return dialed
         assert self._tunnels is not None
         tunnel = await self._tunnels.open(endpoint)
-        return Route(tunnel.stream, tunnel.peer)
+        return DialedStream(tunnel.stream, tunnel.peer)
 
-    async def _open_directly(self, endpoint: Endpoint) -> Route | None:
-        """Open a direct connection; None if the reach is lost meanwhile.
+    async def _open_directly(self, endpoint: Endpoint) -> DialedStream | None:
+        """Open a direct connection; None if a tunnel is to be used instead.
 
         Raises:
             EndpointError: There is no connection.
         """
-        opened: list[Route | EndpointError] = []
+        opened: list[DialedStream | EndpointError] = []
         async with anyio.create_task_group() as tasks:
 
             async def connect() -> None:
@@ -97,7 +98,7 @@
                 except EndpointError as exc:
                     opened.append(exc)
                 else:
-                    opened.append(Route(stream))
+                    opened.append(DialedStream(stream))
                 tasks.cancel_scope.cancel()
 
             async def watch() -> None:
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -64,8 +64,8 @@
             metrics: Counts retries and invalid responses.
             report_crash: Called with the digest of a request and the endpoint
                 whose connection failed during the request.
-            dialer: Knows whether endpoints are reached in any way.
-            reach: Is told of requests that are sent directly.
+            dialer: Knows whether endpoints can be reached at all.
+            reach: Learns of requests that are sent directly.
         """
         self._dialer = dialer
         self._reach = reach
@@ -115,7 +115,7 @@
         if self._dialer.is_cut_off:
             raise CallError(
                 ErrorCode.NO_ENDPOINT,
-                'neither this instance nor a peer reaches the endpoints',
+                'neither this instance nor a peer can reach the endpoints',
                 call.verdict,
                 retry_after_ms=_CUT_OFF_RETRY_AFTER_MS,
             )
@@ -180,7 +180,7 @@
             self._reach.record_sent(inbound.attempt)
         else:
             logger.info(
-                'The request takes the way through a peer.',
+                'Sending the request through a peer.',
                 attempt=inbound.attempt,
                 peer=conn.peer,
             )
--- a/src/acaciaramp/forwarding/reach.py
+++ b/src/acaciaramp/forwarding/reach.py
@@ -1,4 +1,4 @@
-"""Whether this instance reaches the endpoints, by its own attempts.
+"""Whether this instance can reach the endpoints, by its own attempts.
 
 Answers a partition between this instance and all endpoints, while callers and
 peers still reach it: connections hang, are reset, or live on while new ones are
@@ -44,7 +44,7 @@
 
 
 class Reach:
-    """Checks whether this instance reaches endpoints when it has doubts.
+    """Checks whether this instance can reach endpoints after a failure.
 
     Attributes:
         is_lost: Whether none of some endpoints in different zones could be
@@ -78,7 +78,7 @@
         self._heard_ms = clock.now_ms()
 
     def suspect(self, endpoint: EndpointId) -> None:
-        """Record that an endpoint was not reached; the reach is checked."""
+        """Record that an endpoint was not reached; a check follows."""
         self._suspects.add(endpoint)
 
     def record_sent(self, attempt: str) -> None:
@@ -95,7 +95,7 @@
         self._heard_ms = self._clock.now_ms()
 
     async def run(self) -> None:
-        """Check the reach whenever there is doubt, until cancelled."""
+        """Check whenever a failure or silence calls for it, until cancelled."""
         while True:
             await self._clock.sleep_ms(_TICK_MS)
             if self.is_lost or self._suspects or self._is_silent():
@@ -106,7 +106,7 @@
         """Dial some endpoints and record whether any of them is reached.
 
         Suspects are dialled only if there is no other endpoint: each may have
-        failed on its own. A single endpoint says nothing about the reach.
+        failed on its own. A single endpoint says nothing about the others.
         """
         suspects = self._suspects
         self._suspects = set()
@@ -129,14 +129,17 @@
         if is_lost:
             self._metrics.count(Counter.REACH_LOST)
             logger.warning(
-                'Reached none of these endpoints; going on through peers.',
+                'None of these endpoints can be reached; connecting through peers.',
                 endpoints=names,
                 waiting=len(self._waiting),
                 silent_ms=self._clock.now_ms() - self._heard_ms,
             )
             self.lost.set()
             return
-        logger.info('Endpoints are reached again.', endpoints=names)
+        logger.info(
+            'Endpoints can be reached again; connecting directly.',
+            endpoints=names,
+        )
         self.lost = anyio.Event()
 
     def _is_silent(self) -> bool:
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -33,7 +33,8 @@
         RATE_REQUESTED: Requests for rate tokens, by ``GrantOutcome``.
         SLOT_REQUESTED: Requests for slots at limited endpoints, by
             ``GrantOutcome``.
-        REACH_LOST: Times at which this instance lost its way to the endpoints.
+        REACH_LOST: Times at which this instance found that it cannot reach
+            endpoints.
         TUNNEL_OPENED: Tunnels through peers opened.
         TUNNEL_FAILED: Peers that opened no tunnel when they were asked.
         TUNNEL_REQUESTED: Tunnels that peers asked for, by ``TunnelOutcome``.
--- a/src/acaciaramp/roles/endpoint_paths.py
+++ b/src/acaciaramp/roles/endpoint_paths.py
@@ -1,4 +1,4 @@
-"""Ways of an entry instance to the endpoints: direct ones and through peers."""
+"""Paths of an entry instance to the endpoints: direct ones and through peers."""
 
 from __future__ import annotations
 
--- a/src/acaciaramp/settings/node.py
+++ b/src/acaciaramp/settings/node.py
@@ -86,7 +86,7 @@
         regions: The region of each availability zone.
         inner_port: TCP port for other instances; the same on all instances.
         tunnel_port: TCP port on which entry instances pass bytes on to endpoints
-            for peers that do not reach them; the same on all instances. None
+            for peers that cannot reach them; the same on all instances. None
             passes none on.
         seeds: ``HOST:PORT`` addresses, for operators, of some control
             instances.
--- a/src/acaciaramp/tunnels/client.py
+++ b/src/acaciaramp/tunnels/client.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import httpcore
 
-from acaciaramp.endpoints.dialing import NETWORK_ERRORS, dial
+from acaciaramp.endpoints.dialing import NETWORK_ERRORS, StreamWrapper, dial
 from acaciaramp.endpoints.failures import EndpointError
 from acaciaramp.tunnels.messages import (
     TUNNEL_VERSION,
@@ -72,12 +72,12 @@
     return TunnelStream(stream)
 
 
-class TunnelStream(httpcore.AsyncNetworkStream):
+class TunnelStream(StreamWrapper):
     """The bytes of an endpoint's connection, as they come through a tunnel."""
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         """Read and write on the connection to the peer, which has opened it."""
-        self._stream = stream
+        super().__init__(stream)
         self._left_bytes = 0
 
     # The signatures of ``read`` and ``write`` are those of the base class.
@@ -107,19 +107,3 @@
             raise httpcore.ReadError('the tunnel was lost')
         self._left_bytes -= len(part)
         return part
-
-    async def write(
-        self,
-        buffer: bytes,
-        timeout: float | None = None,  # noqa: ASYNC109
-    ) -> None:
-        """Write bytes."""
-        await self._stream.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        """Close the tunnel; the peer closes the endpoint's connection."""
-        await self._stream.aclose()
-
-    def get_extra_info(self, info: str) -> Any:
-        """Return a property of the connection to the peer."""
-        return self._stream.get_extra_info(info)
--- a/src/acaciaramp/tunnels/opener.py
+++ b/src/acaciaramp/tunnels/opener.py
@@ -1,8 +1,8 @@
 """Opens tunnels through the peers that are most likely to reach an endpoint.
 
-Answers the load of an instance that has lost its way to all endpoints at once:
-many requests need a tunnel in the same moment, some peers are in the same
-situation, and a peer that is wrong about itself does not answer.
+Answers the load of an instance that is partitioned from all endpoints: many
+requests need a tunnel at the same moment, some peers are partitioned as well, and
+those that have not noticed yet do not answer.
 """
 
 from __future__ import annotations
@@ -126,7 +126,7 @@
     def ranked(self, endpoint: Endpoint) -> list[PeerAddress]:
         """Return the peers for an endpoint, preferred ones first.
 
-        Bytes cross as few zones and regions as they would without the detour if
+        Bytes cross as few zones and regions as they would without the tunnel if
         the peer is in the zone of the endpoint or of this instance.
         """
         near = {self._zone, endpoint.availability_zone}
--- a/src/acaciaramp/tunnels/server.py
+++ b/src/acaciaramp/tunnels/server.py
@@ -1,4 +1,4 @@
-"""Serves the tunnels of peers that do not reach the endpoints themselves."""
+"""Serves the tunnels of peers that cannot reach the endpoints themselves."""
 
 from __future__ import annotations
 
@@ -52,7 +52,7 @@
 class TunnelServer:
     """Dials endpoints for peers and passes the bytes on.
 
-    Only listed endpoints are dialled. If this instance does not reach the
+    Only listed endpoints are dialled. If this instance cannot reach the
     endpoints either, peers are refused at once.
 
     Attributes:
@@ -71,7 +71,7 @@
 
         Args:
             find_endpoint: Returns the listed endpoint with an id, if any.
-            is_lost: Returns whether this instance reaches no endpoint.
+            is_lost: Returns whether this instance cannot reach endpoints.
             clock: Clock for timeouts.
             metrics: Counts tunnels by outcome.
         """
