Keep the failure of one tunnel from ending the instance

By reading: a port for tunnels that is in use, or an unexpected error of one connection of a peer, would have ended the process, as the listener runs in the task group of the role. The port is now left out with a warning, and the error ends that connection only.

Tests: the port in use raised OSError before; other bytes on a connection end it alone, before as well.

--- a/src/acaciaramp/conversations/client.py
+++ b/src/acaciaramp/conversations/client.py
@@ -142,10 +142,10 @@
         try:
             return await self._send(leader, body, wait_ms)
         except CallError as exc:
-            is_hasty = wait_ms < _ATTEMPT_TIMEOUT_MS and self._is_slow(
+            is_premature = wait_ms < _ATTEMPT_TIMEOUT_MS and self._is_slow(
                 leader, exc
             )
-            if losses == self._losses and not is_hasty:
+            if losses == self._losses and not is_premature:
                 self._lose_leader(leader, exc)
             raise
 
--- a/src/acaciaramp/tunnels/server.py
+++ b/src/acaciaramp/tunnels/server.py
@@ -83,28 +83,42 @@
         self.is_stopping = False
 
     async def serve(self, host: str, port: int) -> None:
-        """Accept tunnels on a port until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port
-        )
+        """Accept tunnels on a port until cancelled.
+
+        If the port cannot be bound, this instance serves no tunnels.
+        """
+        try:
+            listener = await anyio.create_tcp_listener(
+                local_host=host, local_port=port
+            )
+        except OSError as exc:
+            logger.warning(
+                'Could not bind the tunnel port; running without serving tunnels.',
+                port=port,
+                reason=exc,
+            )
+            return
         async with listener:
             await listener.serve(self.serve_connection)
 
     async def serve_connection(self, stream: SocketStream) -> None:
         """Serve the connection of a peer until either side closes it."""
-        raw = stream.extra(SocketAttribute.raw_socket)  # noqa: S610
-        for option in SOCKET_OPTIONS:
-            raw.setsockopt(*option)
         self.open_tunnels += 1
         try:
             async with stream:
                 await self._serve_tunnel(stream)
         except _TUNNEL_ERRORS as exc:
             logger.info('A tunnel of a peer was broken off.', reason=repr(exc))
+        except Exception as exc:
+            # A defect; the other tunnels go on.
+            logger.error_from('A tunnel of a peer failed; closing it.', exc)
         finally:
             self.open_tunnels -= 1
 
     async def _serve_tunnel(self, stream: SocketStream) -> None:
+        raw = stream.extra(SocketAttribute.raw_socket)  # noqa: S610
+        for option in SOCKET_OPTIONS:
+            raw.setsockopt(*option)
         with self._clock.timeout(_REQUEST_TIMEOUT_MS):
             req = await read_request(stream.receive)
         upstream: httpcore.AsyncNetworkStream | None = None
--- a/tests/tunnels/test_tunnel.py
+++ b/tests/tunnels/test_tunnel.py
@@ -169,6 +169,33 @@
     anyio.run(main)
 
 
+def test_a_port_in_use_does_not_end_the_instance() -> None:
+    async def main() -> None:
+        async with listening(echo_once) as port:
+            server = TunnelServer(
+                lambda _: None, bool, SystemClock(), Metrics()
+            )
+            with anyio.fail_after(10):
+                await server.serve('127.0.0.1', port)
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize('wire', [b'', b'\xff' * 64, b'\0\0\0\1\xc1'])
+def test_other_bytes_end_one_connection_only(wire: bytes) -> None:
+    async def scenario(peer: PeerAddress, endpoint: Endpoint) -> None:
+        async with await anyio.connect_tcp(*peer) as stream:
+            if wire:
+                await stream.send(wire)
+            await stream.send_eof()
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                await stream.receive()
+        tunnel = await open_tunnel(peer, endpoint.id, SystemClock(), 1_000)
+        await tunnel.aclose()
+
+    run(echo_once, scenario)
+
+
 def make_opener(peers: dict[PeerAddress, AvailabilityZone]) -> TunnelOpener:
     opener = TunnelOpener(
         NORTH, REGIONS, ManualClock(), random.Random(1), Metrics()
