--- a/tests/forwarding/endpoint.py
+++ b/tests/forwarding/endpoint.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import re
+import socket
+import struct
 from collections.abc import AsyncIterator, Callable, Iterator
 from typing import TYPE_CHECKING, Any
 
@@ -173,6 +175,15 @@
         return is_body and not last.get('more_body', False)
 
 
+async def reset_connection(stream: SocketStream) -> None:
+    """Close a connection with a reset, so that its end is not in order."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    # Lingering for no time discards what is not sent yet.
+    linger = struct.pack('ii', 1, 0)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    await stream.aclose()
+
+
 async def read_request(stream: SocketStream, number: int) -> ReceivedRequest:
     """Return the next request of a connection.
 
--- a/tests/forwarding/test_unframed.py
+++ b/tests/forwarding/test_unframed.py
@@ -4,19 +4,26 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
 from acaciaramp.routing.model import RouteKind
 from tests import builders as build
+from tests.forwarding.endpoint import read_request, reset_connection
 from tests.forwarding.harness import Harness, run
 
 if TYPE_CHECKING:
+    from anyio.abc import SocketStream
+
+    from acaciaramp.routing.model import Route
     from tests.forwarding.endpoint import (
         ReceivedRequest,
         Script,
         ScriptedEndpoint,
     )
 
+READ_S = 0.05
 PLAIN = build.route(kind=RouteKind.NON_IDEMPOTENT, timeout_ms=2_000)
 STREAM = build.route(timeout_ms=2_000)
 
@@ -50,6 +57,33 @@
     run(PLAIN, scenario, unframed())
 
 
+@pytest.mark.parametrize('route', [PLAIN, STREAM])
+def test_a_response_that_ends_with_a_reset_is_not_whole(route: Route) -> None:
+    async def reset(stream: SocketStream) -> None:
+        request = await read_request(stream, 1)
+        head, body, _ = unframed(b'data: a\n\n')(request)
+        assert head is not None
+        assert body is not None
+        await stream.send(head + body)
+        # The gateway reads what was sent before the reset discards it.
+        await anyio.sleep(READ_S)
+        await reset_connection(stream)
+
+    async def scenario(harness: Harness, _: list[ScriptedEndpoint]) -> None:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(SocketAttribute.local_port)
+        harness.selector.replace_endpoints(
+            [build.listed_endpoint('e-1', port=port)]
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, reset)
+            caller = await harness.request()
+            assert caller.status != 200 or not caller.is_complete
+            tasks.cancel_scope.cancel()
+
+    run(route, scenario)
+
+
 def test_a_response_that_ends_within_its_head_is_none() -> None:
     def cut_head(_: ReceivedRequest) -> list[bytes | None]:
         return [b'HTTP/1.1 200 OK\r\nx-attempt', None]
--- a/tests/tunnels/test_tunnel.py
+++ b/tests/tunnels/test_tunnel.py
@@ -21,6 +21,7 @@
 from acaciaramp.tunnels.server import TunnelServer
 from acaciaramp.verdicts import Verdict
 from tests import builders as build
+from tests.forwarding.endpoint import reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -87,10 +88,7 @@
 async def reset_after_some_bytes(stream: SocketStream) -> None:
     await stream.receive()
     await stream.send(b'some')
-    raw = stream.extra(SocketAttribute.raw_socket)
-    linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
-    raw.setsockopt(1, 13, linger)
-    await stream.aclose()
+    await reset_connection(stream)
 
 
 async def read_to_end(tunnel: TunnelStream) -> bytes:
