Tell an endpoint that is down from a peer that opens no tunnels

Found by reading: an entry that reaches endpoints through its peers avoided each peer that could not connect to an endpoint for two seconds, so that one dead endpoint in the list made it believe that no peer was left, and refuse all requests.

A peer now says whether it could not connect to this endpoint or cannot reach any; it is avoided in the second case only, and after two peers could not connect, the endpoint is taken for down. A peer that could not connect checks its own reach.

--- a/src/acaciaramp/roles/endpoint_paths.py
+++ b/src/acaciaramp/roles/endpoint_paths.py
@@ -60,6 +60,7 @@
         self._server = TunnelServer(
             selector.find,
             lambda: self.reach.is_lost,
+            self.reach.suspect,
             context.clock,
             context.metrics,
         )
--- a/src/acaciaramp/tunnels/client.py
+++ b/src/acaciaramp/tunnels/client.py
@@ -10,6 +10,7 @@
 from acaciaramp.endpoints.failures import EndpointError
 from acaciaramp.tunnels.messages import (
     TUNNEL_VERSION,
+    EndpointUnreachableError,
     TunnelError,
     TunnelOutcome,
     TunnelRequest,
@@ -50,6 +51,7 @@
         timeout_ms: Time limit, milliseconds.
 
     Raises:
+        EndpointUnreachableError: The peer could not connect to the endpoint.
         TunnelError: There is no tunnel; no byte reached the endpoint.
     """
     stream: httpcore.AsyncNetworkStream | None = None
@@ -67,6 +69,8 @@
     finally:
         if stream is not None and not is_open:
             await stream.aclose()
+    if reply.outcome is TunnelOutcome.UNREACHABLE:
+        raise EndpointUnreachableError('the peer cannot connect to it either')
     if not is_open:
         raise TunnelError(f'the peer refuses: {reply.outcome.value}')
     return TunnelStream(stream)
--- a/src/acaciaramp/tunnels/messages.py
+++ b/src/acaciaramp/tunnels/messages.py
@@ -31,19 +31,25 @@
     """A tunnel could not be opened; no byte reached the endpoint."""
 
 
+class EndpointUnreachableError(TunnelError):
+    """The peer is sound, but could not connect to this endpoint."""
+
+
 class TunnelOutcome(enum.Enum):
     """Result of opening a tunnel.
 
     Attributes:
         OPEN: Bytes may follow.
         UNLISTED: The peer does not know the endpoint.
-        UNREACHABLE: The peer does not reach the endpoint.
+        UNREACHABLE: The peer could not connect to the endpoint.
+        LOST: The peer cannot reach any endpoint.
         BUSY: The peer stops, or serves as many tunnels as it may.
     """
 
     OPEN = 'open'
     UNLISTED = 'unlisted'
     UNREACHABLE = 'unreachable'
+    LOST = 'lost'
     BUSY = 'busy'
 
 
--- a/src/acaciaramp/tunnels/opener.py
+++ b/src/acaciaramp/tunnels/opener.py
@@ -14,7 +14,7 @@
 from acaciaramp.endpoints.failures import EndpointError, Failure
 from acaciaramp.metrics.names import Counter
 from acaciaramp.tunnels.client import PeerAddress, open_tunnel
-from acaciaramp.tunnels.messages import TunnelError
+from acaciaramp.tunnels.messages import EndpointUnreachableError, TunnelError
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
 
@@ -33,9 +33,11 @@
 _OPEN_TIMEOUT_MS = 700
 # The next peer is tried as well if one has not answered after this time.
 _STAGGER_MS = 60
-# Peers that are tried for one connection.
+# Peers that are tried for one connection. An endpoint that some of them cannot
+# connect to either is down.
 _MAX_ATTEMPTS = 8
-# How long a peer that opened no tunnel is tried only after all others.
+_MAX_UNREACHABLE = 2
+# How long a peer that cannot open tunnels is tried only after all others.
 _AVOID_MS = 2_000
 
 
@@ -90,7 +92,7 @@
 
     @property
     def has_peers(self) -> bool:
-        """Whether any peer has not failed to open a tunnel recently."""
+        """Whether any peer may be able to open tunnels."""
         return not all(map(self._is_avoided, self._peers))
 
     async def open(self, endpoint: Endpoint) -> Tunnel:
@@ -100,23 +102,26 @@
             EndpointError: No peer has opened one; nothing was sent.
         """
         opened: list[Tunnel] = []
+        unreachable: list[PeerAddress] = []
         async with anyio.create_task_group() as tasks:
 
             async def attempt(peer: PeerAddress, ended: anyio.Event) -> None:
-                tunnel = await self._try_peer(peer, endpoint)
+                tried = await self._try_peer(peer, endpoint)
                 ended.set()
-                if tunnel is None:
-                    return
-                if opened:
-                    await tunnel.stream.aclose()
-                    return
-                opened.append(tunnel)
-                tasks.cancel_scope.cancel()
+                if isinstance(tried, Tunnel):
+                    opened.append(tried)
+                    tasks.cancel_scope.cancel()
+                elif isinstance(tried, EndpointUnreachableError):
+                    unreachable.append(peer)
+                if len(unreachable) == _MAX_UNREACHABLE:
+                    tasks.cancel_scope.cancel()
 
             for peer in self.ranked(endpoint)[:_MAX_ATTEMPTS]:
                 ended = anyio.Event()
                 tasks.start_soon(attempt, peer, ended)
                 await self._wait_briefly(ended)
+        for surplus in opened[1:]:
+            await surplus.stream.aclose()
         if opened:
             return opened[0]
         raise EndpointError(
@@ -142,21 +147,15 @@
 
     async def _try_peer(
         self, peer: PeerAddress, endpoint: Endpoint
-    ) -> Tunnel | None:
+    ) -> Tunnel | TunnelError:
+        """Return a tunnel, or why the peer opened none."""
         try:
             stream = await open_tunnel(
                 peer, endpoint.id, self._clock, _OPEN_TIMEOUT_MS
             )
         except TunnelError as exc:
-            self._avoided_until_ms[peer] = self._clock.now_ms() + _AVOID_MS
-            self._metrics.count(Counter.TUNNEL_FAILED)
-            logger.info(
-                'A peer opened no tunnel; trying another one.',
-                peer=peer.host,
-                endpoint=endpoint.id,
-                reason=exc,
-            )
-            return None
+            self._record_failure(peer, endpoint, exc)
+            return exc
         self._avoided_until_ms.pop(peer, None)
         self._metrics.count(Counter.TUNNEL_OPENED)
         logger.info(
@@ -166,6 +165,19 @@
         )
         return Tunnel(peer, stream)
 
+    def _record_failure(
+        self, peer: PeerAddress, endpoint: Endpoint, exc: TunnelError
+    ) -> None:
+        if not isinstance(exc, EndpointUnreachableError):
+            self._avoided_until_ms[peer] = self._clock.now_ms() + _AVOID_MS
+        self._metrics.count(Counter.TUNNEL_FAILED)
+        logger.info(
+            'A peer opened no tunnel; trying another one.',
+            peer=peer.host,
+            endpoint=endpoint.id,
+            reason=exc,
+        )
+
     async def _wait_briefly(self, ended: anyio.Event) -> None:
         try:
             with self._clock.timeout(_STAGGER_MS):
--- a/src/acaciaramp/tunnels/server.py
+++ b/src/acaciaramp/tunnels/server.py
@@ -64,6 +64,7 @@
         self,
         find_endpoint: FindEndpoint,
         is_lost: Callable[[], bool],
+        on_unreachable: Callable[[EndpointId], None],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -72,11 +73,13 @@
         Args:
             find_endpoint: Returns the listed endpoint with an id, if any.
             is_lost: Returns whether this instance cannot reach endpoints.
+            on_unreachable: Called with an endpoint that could not be dialled.
             clock: Clock for timeouts.
             metrics: Counts tunnels by outcome.
         """
         self._find_endpoint = find_endpoint
         self._is_lost = is_lost
+        self._on_unreachable = on_unreachable
         self._clock = clock
         self._metrics = metrics
         self.open_tunnels = 0
@@ -148,7 +151,7 @@
         if self._find_endpoint(endpoint) is None:
             return TunnelOutcome.UNLISTED
         if self._is_lost():
-            return TunnelOutcome.UNREACHABLE
+            return TunnelOutcome.LOST
         if self.is_stopping or self.open_tunnels > _MAX_TUNNELS:
             return TunnelOutcome.BUSY
         return TunnelOutcome.OPEN
@@ -162,6 +165,7 @@
         try:
             return await dial(endpoint.host, endpoint.port, DIAL_TIMEOUT_MS)
         except EndpointError:
+            self._on_unreachable(endpoint_id)
             return None
 
 
--- a/tests/forwarding/test_reach.py
+++ b/tests/forwarding/test_reach.py
@@ -84,7 +84,13 @@
     """Serve a gateway whose instance has one peer."""
     async with harness_with(route, *scripts) as (harness, fakes):
         clock = SystemClock()
-        server = TunnelServer(harness.selector.find, bool, clock, Metrics())
+        server = TunnelServer(
+            harness.selector.find,
+            bool,
+            lambda _: None,
+            clock,
+            Metrics(),
+        )
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
         opener = TunnelOpener(NORTH, {}, clock, random.Random(1), Metrics())
         port = listener.extra(SocketAttribute.local_port)
@@ -114,6 +120,22 @@
     assert anyio.run(main) == [200] * 5
 
 
+def test_a_dead_endpoint_does_not_end_the_service_through_peers(
+    network: Network,
+) -> None:
+    async def main() -> list[int]:
+        scripts = [complete] * 2
+        async with harness_with_a_peer(LONG, *scripts) as (harness, _):
+            dead = build.listed_endpoint('dead', port=1)
+            harness.selector.replace_endpoints([*harness.endpoints, dead])
+            network.cut = {item.port for item in harness.selector.staying()}
+            network.is_refusing = True
+            callers = [await harness.request(str(n)) for n in range(8)]
+            return [caller.status for caller in callers]
+
+    assert anyio.run(main) == [200] * 8
+
+
 def test_one_silent_endpoint_is_no_loss_of_reach(network: Network) -> None:
     async def main() -> None:
         async with harness_with(LONG, complete, complete) as (harness, _):
--- a/tests/tunnels/test_tunnel.py
+++ b/tests/tunnels/test_tunnel.py
@@ -38,6 +38,10 @@
 LOST_PEER = PeerAddress('127.0.0.1', 1)
 
 
+def ignore(_: object) -> None:
+    """Do nothing."""
+
+
 @contextlib.asynccontextmanager
 async def listening(handler: Handler) -> AsyncIterator[int]:
     """Serve connections with a handler; yield the port."""
@@ -58,6 +62,7 @@
         server = TunnelServer(
             lambda name: endpoint if name == endpoint.id else None,
             lambda: is_lost,
+            ignore,
             SystemClock(),
             Metrics(),
         )
@@ -145,7 +150,7 @@
 
 def test_a_peer_without_reach_refuses_at_once() -> None:
     async def scenario(peer: PeerAddress, endpoint: Endpoint) -> None:
-        with pytest.raises(TunnelError, match='unreachable'):
+        with pytest.raises(TunnelError, match='lost'):
             await open_tunnel(peer, endpoint.id, SystemClock(), 1_000)
 
     run(echo_once, scenario, is_lost=True)
@@ -156,7 +161,7 @@
         async with listening(echo_once) as port:
             endpoint = build.listed_endpoint('e-1', port=port)
             server = TunnelServer(
-                lambda _: endpoint, bool, SystemClock(), Metrics()
+                lambda _: endpoint, bool, ignore, SystemClock(), Metrics()
             )
             server.is_stopping = True
             async with listening(server.serve_connection) as peer_port:
@@ -171,7 +176,7 @@
     async def main() -> None:
         async with listening(echo_once) as port:
             server = TunnelServer(
-                lambda _: None, bool, SystemClock(), Metrics()
+                lambda _: None, bool, ignore, SystemClock(), Metrics()
             )
             with anyio.fail_after(10):
                 await server.serve('127.0.0.1', port)
@@ -224,6 +229,24 @@
     run(echo_once, scenario)
 
 
+def test_a_dead_endpoint_says_nothing_about_the_peers() -> None:
+    unreachable: list[EndpointId] = []
+
+    async def main() -> None:
+        dead = build.listed_endpoint('e-1', port=1)
+        server = TunnelServer(
+            lambda _: dead, bool, unreachable.append, SystemClock(), Metrics()
+        )
+        async with listening(server.serve_connection) as port:
+            opener = make_opener({PeerAddress('127.0.0.1', port): NORTH})
+            with pytest.raises(EndpointError):
+                await opener.open(dead)
+        assert opener.has_peers
+        assert unreachable == [dead.id]
+
+    anyio.run(main)
+
+
 def test_without_a_peer_that_reaches_it_nothing_is_sent() -> None:
     async def scenario(_: PeerAddress, endpoint: Endpoint) -> None:
         opener = make_opener({LOST_PEER: NORTH})
