Test what three mutants of the new code left green

Put in alone, these changes broke no test: waiting requests that look for the ledger's leader all at once (the followers of the test replied without a delay), idle connections of the other path that are used again, and suspects that are dialled though other endpoints are listed. A mutant that lets a direct dial hang to its end instead of replacing it by a tunnel is still green, as the request is then tried again in time. No source changes.

--- a/tests/conversations/test_client.py
+++ b/tests/conversations/test_client.py
@@ -124,6 +124,7 @@
                 self._links.requested.append('c')
                 await clock.sleep_ms(wait_ms)
                 raise CallError(ErrorCode.HOME_UNREACHABLE, 'slow')
+            await clock.sleep_ms(10)
             return await super().request(_, body, wait_ms)
 
     links = FakeLinks(leader='c', hint='c')
--- a/tests/forwarding/test_reach.py
+++ b/tests/forwarding/test_reach.py
@@ -136,6 +136,55 @@
     assert anyio.run(main) == [200] * 8
 
 
+def test_idle_connections_of_the_other_path_are_not_used(
+    network: Network,
+) -> None:
+    async def main() -> list[int]:
+        async with harness_with_a_peer(LONG, complete, complete) as (
+            harness,
+            fakes,
+        ):
+            only = harness.endpoints[0]
+            network.is_refusing = True
+            for number, cut in enumerate((False, False, True, True, False)):
+                ports = {endpoint.port for endpoint in harness.endpoints}
+                network.cut = ports if cut else set()
+                await harness.reach.check()
+                harness.selector.replace_endpoints((only,))
+                assert (await harness.request(str(number))).status == 200
+                harness.selector.replace_endpoints(harness.endpoints)
+            return [request.connection for request in fakes[0].received]
+
+    direct, again, tunnel, same_tunnel, last = anyio.run(main)
+    assert direct == again
+    assert tunnel == same_tunnel
+    assert len({direct, tunnel, last}) == 3
+
+
+def test_many_suspects_are_no_loss_of_reach_while_another_endpoint_answers(
+    network: Network,
+) -> None:
+    async def main() -> None:
+        async with harness_with(LONG, complete) as (harness, _):
+            suspects = [
+                build.listed_endpoint(
+                    f's-{number}',
+                    port=number,
+                    availability_zone=AvailabilityZone(f'zone-{number}'),
+                )
+                for number in range(1, 9)
+            ]
+            network.cut = {endpoint.port for endpoint in suspects}
+            network.is_refusing = True
+            harness.selector.replace_endpoints([*harness.endpoints, *suspects])
+            for endpoint in suspects:
+                harness.reach.suspect(endpoint.id)
+            await harness.reach.check()
+            assert not harness.reach.is_lost
+
+    anyio.run(main)
+
+
 def test_one_silent_endpoint_is_no_loss_of_reach(network: Network) -> None:
     async def main() -> None:
         async with harness_with(LONG, complete, complete) as (harness, _):
