Refuse requests that may not end before a stopping entry exits

Cause: an entry accepted every request until its process ended, and cancelled all of them 7 s after SIGTERM unless it had been idle before. Under steady load it never is. The log line "The grace period is over; ending the requests in flight." stands before each cut, so neither the web server nor a drain that is too short for requests that came in time is the cause.

Once the load balancer has had time to notice the stop, a request is accepted only if its time limit ends before the drain does. Others are refused as not run, so that no accepted request outlives the drain and the entry gets idle.

Test: without the check, the new test in test_gateway.py gets 200 in place of 503 (AssertionError: assert 200 == 503).

--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -11,6 +11,7 @@
 from acaciaramp.forwarding.buffers import BufferLimit
 from acaciaramp.forwarding.call import Call
 from acaciaramp.forwarding.caller import Caller
+from acaciaramp.forwarding.draining import Draining
 from acaciaramp.forwarding.relay import Relay
 from acaciaramp.metrics.names import BadInput, Counter, Timer
 from acaciaramp.util.logs import get_logger
@@ -46,7 +47,8 @@
     """ASGI application that serves the requests of callers.
 
     Attributes:
-        is_stopping: Whether each connection is closed after its next response.
+        draining: The planned stop of the instance; once it has begun, each
+            connection is closed after its next response.
         in_flight: Number of requests that are being served.
         quarantined: Digests of requests that are refused because equal ones
             have crashed endpoints; set by the entry role.
@@ -76,7 +78,7 @@
             clock: Source of time.
             metrics: Counts responses, refusals and invalid input.
         """
-        self.is_stopping = False
+        self.draining = Draining(clock)
         self.in_flight = 0
         self.quarantined: frozenset[str] = frozenset()
         self._codec = codec
@@ -112,7 +114,9 @@
             receive: ASGI callable for the messages of the server.
             send: ASGI callable for messages to the server.
         """
-        caller = Caller(receive, send, should_close=lambda: self.is_stopping)
+        caller = Caller(
+            receive, send, should_close=lambda: self.draining.has_begun
+        )
         started_ms = self._clock.now_ms()
         self.in_flight += 1
         inbound: InboundRequest | None = None
@@ -174,6 +178,9 @@
         body = await self._read_body(inbound, route, caller)
         if body is None:
             return
+        # Checked once the body was read: closing a connection with unread bytes
+        # resets it, and the caller might not get the refusal.
+        self.draining.check(inbound.started_ms + _time_limit_ms(inbound, route))
         inbound.body = body
         failure: CallError | EndpointError | None = None
         async with anyio.create_task_group() as tasks:
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -160,7 +160,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers here."""
-        if self._gateway.is_stopping or self._router.table is None:
+        if self._gateway.draining.has_begun or self._router.table is None:
             return False
         if self._paths.dialer.is_cut_off:
             return False
@@ -185,13 +185,7 @@
         )
         async with running_server(self._app, sockets, protocol) as server:
             await stop.wait()
-            self._gateway.is_stopping = True
-            self._paths.stop()
-            logger.info(
-                'Stopping; reporting not ready, then draining requests.',
-                under_way=self._gateway.in_flight,
-            )
-            await context.clock.sleep_ms(_BALANCER_DELAY_MS)
+            self._begin_draining()
             await self._drain()
             await self._end_requests()
             # Without this the server would wait for the remaining requests
@@ -205,21 +199,32 @@
             return
         await self._gateway.serve(scope, receive, send)
 
+    def _begin_draining(self) -> None:
+        """Report not ready and begin to refuse what cannot end in time.
+
+        The process exits ``_EXIT_MARGIN_MS`` before its grace period ends.
+        """
+        grace_ms = self._context.cfg.bounds.grace_s * _MS_PER_SECOND
+        self._gateway.draining.begin(
+            _BALANCER_DELAY_MS, max(0, int(grace_ms) - _EXIT_MARGIN_MS)
+        )
+        self._paths.stop()
+        logger.info(
+            'Stopping; reporting not ready, then draining requests.',
+            under_way=self._gateway.in_flight,
+        )
+
     async def _drain(self) -> None:
         """Wait for requests in flight and for turns that are being settled.
 
-        The wait ends ``_EXIT_MARGIN_MS`` before the grace period does.
+        The wait begins when the load balancer has noticed the stop.
         """
-        context = self._context
-        grace_ms = context.cfg.bounds.grace_s * _MS_PER_SECOND
-        until_ms = (
-            context.clock.now_ms()
-            + grace_ms
-            - _BALANCER_DELAY_MS
-            - _EXIT_MARGIN_MS
+        draining = self._gateway.draining
+        await self._context.clock.sleep_ms(
+            min(_BALANCER_DELAY_MS, draining.left_ms)
         )
-        while context.clock.now_ms() < until_ms and self._is_busy():
-            await context.clock.sleep_ms(_DRAIN_POLL_MS)
+        while draining.left_ms and self._is_busy():
+            await self._context.clock.sleep_ms(_DRAIN_POLL_MS)
 
     async def _end_requests(self) -> None:
         """End the requests that are still in flight, and send their refusals."""
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -493,7 +493,7 @@
 
 def test_a_stopping_instance_closes_its_connections() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
-        harness.gateway.is_stopping = True
+        harness.gateway.draining.begin(accept_all_ms=1_000, drain_ms=5_000)
         caller = await harness.request()
         assert (caller.status, caller.body) == (200, b'thing')
         assert caller.headers[b'connection'] == b'close'
@@ -501,6 +501,25 @@
     run(NON_IDEMPOTENT, scenario, complete)
 
 
+# Guards against requests that a stopping instance accepts late and cuts off as
+# it exits.
+def test_a_stopping_instance_refuses_what_may_not_end_before_it_exits() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        limit_ms = NON_IDEMPOTENT.timeout_ms
+        harness.gateway.draining.begin(accept_all_ms=0, drain_ms=limit_ms - 1)
+        caller = await harness.request()
+        assert caller.status == 503
+        assert caller.headers[b'connection'] == b'close'
+        assert float(caller.headers[b'retry-after']) < 1
+        assert caller.is_complete
+        assert not fakes[0].received
+        # A shorter time limit of the caller ends in time.
+        deadline = (b'x-deadline-ms', b'%d' % (limit_ms // 2))
+        assert (await harness.request('a2', deadline)).status == 200
+
+    run(NON_IDEMPOTENT, scenario, complete)
+
+
 async def ended_request(
     harness: Harness, is_under_way: Callable[[FakeCaller], bool]
 ) -> FakeCaller:
