Settle the tokens of a turn whose commit failed after its response

Cause: a retained turn is committed after its last event. If that fails, the ledger client's error says that the *command* was not sent. The gateway took its verdict for that of the *turn*, released the reservation and settled the turn with no tokens, though they had been handed out. The log showed it: "A request was refused." with verdict not_run after an endpoint had been selected and events had been sent.

The verdict now always comes from the call, which records what was sent. A turn whose commit failed is settled with the tokens of its events, and the log says that it ran.

Other paths: steps of acaciaramp serve combine the verdict of an error with those of all attempts (programs/runner.py), and CommitError is apart from refusals; they do not have the fault.

Test: test_a_turn_that_cannot_be_committed_costs_its_tokens; on it fails with ('a1', 0) != ('a1', 20).

--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -306,24 +306,21 @@
             self._direct_resumption(call)
         except CallError:
             # A turn that may not begin uses no token of the rate.
-            self._turns.settle_failed(call, Verdict.NOT_RUN)
+            self._turns.settle_failed(call)
             await self._admission.discard_prefetched(call, prefetched)
             raise
         try:
             await self._admission.admit(call, prefetched)
         except BaseException:
-            self._turns.settle_failed(call, Verdict.NOT_RUN)
+            self._turns.settle_failed(call)
             raise
         relay = Relay(
             call, caller, self._turns.make_before_finish(call), self._buffers
         )
         try:
             await self._forwarder.forward(call, relay)
-        except CallError as exc:
-            self._turns.settle_failed(call, exc.refusal.verdict)
-            raise
         except BaseException:
-            self._turns.settle_failed(call, call.verdict)
+            self._turns.settle_failed(call)
             raise
         self._record_response(call, relay)
 
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -147,20 +147,22 @@
                 endpoint=call.endpoint,
             )
             with anyio.CancelScope(shield=True):
-                await self._turns.commit(turn, result, _COMMIT_TIMEOUT_MS)
+                await self._commit(turn, result)
             call.turn = None
 
         return before_finish
 
-    def settle_failed(self, call: Call, verdict: Verdict) -> None:
+    def settle_failed(self, call: Call) -> None:
         """Release the turn of a call that failed, if no endpoint has run it.
 
-        If an endpoint may have run it, the number of generated tokens is
-        unknown and the whole reservation stays used.
+        Only the call knows whether an endpoint has: the error that ended it may
+        be about another request, such as one to the ledger. If an endpoint may
+        have run it, the number of generated tokens is unknown and the whole
+        reservation stays used.
         """
         if call.turn is None:
             return
-        is_released = verdict is Verdict.NOT_RUN
+        is_released = call.verdict is Verdict.NOT_RUN
         logger.info(
             'A turn ended without a whole response.',
             attempt=call.inbound.attempt,
@@ -170,6 +172,25 @@
         if is_released:
             self._turns.release(call.turn.plan)
 
+    async def _commit(self, turn: OpenedTurn, result: TurnResult) -> None:
+        """Commit a turn whose response has arrived completely.
+
+        Its tokens have been handed out by then, so that they are settled also if
+        it is not stored.
+
+        Raises:
+            CallError: The ledger did not commit it in time.
+        """
+        try:
+            await self._turns.commit(turn, result, _COMMIT_TIMEOUT_MS)
+        except CallError as exc:
+            self._turns.settle(turn.plan, result.tokens, result.endpoint)
+            raise CallError(
+                ErrorCode.HOME_UNREACHABLE,
+                f'the ledger did not commit the turn: {exc}',
+                Verdict.RAN,
+            ) from None
+
     def _generated_tokens(self, call: Call, relay: Relay) -> int:
         service = self._router.services.get(call.service)
         per_event = 0 if service is None else service.tokens_per_event
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -86,6 +86,7 @@
     Attributes:
         state_machine: State machine of the ledger.
         is_down: Whether every request fails.
+        stores_turns: Whether requests that store a turn succeed.
         closed: All CloseTurn commands, in order.
     """
 
@@ -93,6 +94,7 @@
         """Create an empty ledger."""
         self.state_machine = Ledger()
         self.is_down = False
+        self.stores_turns = True
         self.closed: list[CloseTurn] = []
 
     async def open_turn(self, req: OpenTurn, wait_ms: int) -> OpenReply:
@@ -105,6 +107,8 @@
     async def close_turn(self, req: CloseTurn, wait_ms: int) -> None:
         """Apply the command unless the ledger is down."""
         self._check()
+        if req.kept is not None and not self.stores_turns:
+            raise CallError(ErrorCode.HOME_UNREACHABLE, 'nobody answers')
         self.closed.append(req)
         self.state_machine.apply(encode(req))
 
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -437,6 +437,20 @@
     run(RETAINED, scenario, stream_with_ledger_down)
 
 
+# Guards against a budget that is exceeded by turns whose commit failed after
+# their tokens had been handed out.
+def test_a_turn_that_cannot_be_committed_costs_its_tokens() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        harness.ledger.stores_turns = False
+        caller = await harness.request('a1', *TURN_HEADERS)
+        assert not caller.is_complete
+        await anyio.wait_all_tasks_blocked()
+        (closed,) = harness.ledger.closed
+        assert (closed.turn.attempt, closed.tokens) == ('a1', 20)
+
+    run(RETAINED, scenario, streamed)
+
+
 def test_a_request_with_an_unknown_previous_turn_is_not_forwarded() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         caller = await harness.request(
