Keep a call to the routing table by which it was routed

Cause: the tokens per event were looked up in the table in force when the turn ended; a service that it lacks counted 0. The service itself was picked only after the body had been read, from the route of an older table.

The call is now made from one table, before its body is read, and keeps the services of that table. A checked table lists the services of all its routes, so that the look-up cannot fail.

Test: test_a_turn_costs_its_tokens_though_its_service_is_removed; on it fails with ('a1', 0) != ('a1', 20).

--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Mapping
 
 import msgspec
 
@@ -11,7 +12,7 @@
 from acaciaramp.forwarding.messages import InboundRequest
 from acaciaramp.forwarding.selector import EndpointQuery
 from acaciaramp.ids import ServiceName, WorkspaceId
-from acaciaramp.routing.model import Route, RouteKind
+from acaciaramp.routing.model import Route, RouteKind, Service
 from acaciaramp.verdicts import Verdict
 
 _DIGEST_BYTES = 12
@@ -24,6 +25,7 @@
         inbound: The caller's request.
         route: Route that matched the request.
         service: Service that was picked for the request.
+        services: Services of the routing table by which the request was routed.
         workspace: Workspace of the request's key; None if none is needed.
         deadline_ms: Time at which the response is due, on the clock of the
             process.
@@ -38,6 +40,7 @@
     inbound: InboundRequest
     route: Route
     service: ServiceName
+    services: Mapping[ServiceName, Service]
     workspace: WorkspaceId | None
     deadline_ms: int
     turn: OpenedTurn | None = None
@@ -72,6 +75,14 @@
             requires_version=self.resumes_stream,
         )
 
+    @property
+    def tokens_per_event(self) -> int:
+        """Tokens in each event of its response, by the table of its route.
+
+        A table that comes into force meanwhile may lack the service.
+        """
+        return self.services[self.service].tokens_per_event
+
     @property
     def body(self) -> bytes:
         """Body of the request to the endpoint."""
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -173,35 +173,48 @@
 
     async def _handle(self, inbound: InboundRequest, caller: Caller) -> None:
         await self._wait_for_table(inbound)
-        route = self._find_route(inbound)
-        workspace = self._authorize(inbound, route)
-        body = await self._read_body(inbound, route, caller)
+        call = self._make_call(inbound)
+        body = await self._read_body(call, caller)
         if body is None:
             return
         # Checked once the body was read: closing a connection with unread bytes
         # resets it, and the caller might not get the refusal.
-        self.draining.check(inbound.started_ms + _time_limit_ms(inbound, route))
+        self.draining.check(call.deadline_ms)
         inbound.body = body
         failure: CallError | EndpointError | None = None
         async with anyio.create_task_group() as tasks:
-            failure = await self._forward_while_connected(
-                inbound, route, workspace, caller, tasks
-            )
+            failure = await self._forward_while_connected(call, caller, tasks)
         if failure is not None:
             raise failure
 
-    async def _read_body(
-        self, inbound: InboundRequest, route: Route, caller: Caller
-    ) -> bytes | None:
+    def _make_call(self, inbound: InboundRequest) -> Call:
+        """Return the call of a request by the routing table in force.
+
+        A later table does not change the call.
+
+        Raises:
+            CallError: There is no such route, or its key is missing or unknown.
+        """
+        route = self._find_route(inbound)
+        return Call(
+            inbound=inbound,
+            route=route,
+            service=self._router.pick_service(route),
+            services=self._router.services,
+            workspace=self._authorize(inbound, route),
+            deadline_ms=inbound.started_ms + _time_limit_ms(inbound, route),
+        )
+
+    async def _read_body(self, call: Call, caller: Caller) -> bytes | None:
         """Return the body, None if the caller disconnects first.
 
         Raises:
             CallError: The body is too large, or it did not arrive within the
                 time limit of the request.
         """
-        until_ms = inbound.started_ms + _time_limit_ms(inbound, route)
+        left_ms = call.deadline_ms - self._clock.now_ms()
         try:
-            with self._clock.timeout(max(0, until_ms - self._clock.now_ms())):
+            with self._clock.timeout(max(0, left_ms)):
                 return await caller.read_body(self._router.limits.body_bytes)
         except TimeoutError:
             raise CallError(
@@ -209,12 +222,7 @@
             ) from None
 
     async def _forward_while_connected(
-        self,
-        inbound: InboundRequest,
-        route: Route,
-        workspace: WorkspaceId | None,
-        caller: Caller,
-        tasks: TaskGroup,
+        self, call: Call, caller: Caller, tasks: TaskGroup
     ) -> CallError | EndpointError | None:
         """Forward the request; cancel it if the caller disconnects.
 
@@ -226,12 +234,14 @@
         async def watch() -> None:
             await caller.wait_disconnected()
             if not caller.has_finished:
-                logger.info('The caller has gone.', attempt=inbound.attempt)
+                logger.info(
+                    'The caller has gone.', attempt=call.inbound.attempt
+                )
             tasks.cancel_scope.cancel()
 
         tasks.start_soon(watch)
         try:
-            await self._forward(inbound, route, workspace, caller, tasks)
+            await self._forward(call, caller, tasks)
         except (CallError, EndpointError) as exc:
             return exc
         finally:
@@ -284,20 +294,8 @@
         return workspace.name
 
     async def _forward(
-        self,
-        inbound: InboundRequest,
-        route: Route,
-        workspace: WorkspaceId | None,
-        caller: Caller,
-        tasks: TaskGroup,
+        self, call: Call, caller: Caller, tasks: TaskGroup
     ) -> None:
-        call = Call(
-            inbound=inbound,
-            route=route,
-            service=self._router.pick_service(route),
-            workspace=workspace,
-            deadline_ms=inbound.started_ms + _time_limit_ms(inbound, route),
-        )
         self._check_quarantine(call)
         call.expected_origin = self._chooser.expected_origin(call)
         prefetched = self._admission.start_prefetch(call, tasks)
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -29,7 +29,6 @@
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.relay import Relay
     from acaciaramp.metrics.client import Metrics
-    from acaciaramp.routing.router import Router
 
 logger = get_logger('gateway')
 
@@ -42,19 +41,17 @@
     """Connects the calls of an entry instance with the ledger."""
 
     def __init__(
-        self, turns: TurnManager, router: Router, clock: Clock, metrics: Metrics
+        self, turns: TurnManager, clock: Clock, metrics: Metrics
     ) -> None:
         """Create the turn lifecycle.
 
         Args:
             turns: Opens, commits and settles turns on the ledger.
-            router: Active routing table; gives the tokens per event.
             clock: Source of time.
             metrics: Records the latency of the ledger.
         """
         self._metrics = metrics
         self._turns = turns
-        self._router = router
         self._clock = clock
 
     def needs_ledger(self, call: Call) -> bool:
@@ -137,7 +134,7 @@
             if not relay.is_success:
                 self._turns.settle(turn.plan, 0)
                 return
-            tokens = self._generated_tokens(call, relay)
+            tokens = relay.events.events * call.tokens_per_event
             if not turn.plan.retention_ms:
                 self._turns.settle(turn.plan, tokens, call.endpoint)
                 return
@@ -191,11 +188,6 @@
                 Verdict.RAN,
             ) from None
 
-    def _generated_tokens(self, call: Call, relay: Relay) -> int:
-        service = self._router.services.get(call.service)
-        per_event = 0 if service is None else service.tokens_per_event
-        return relay.events.events * per_event
-
 
 def _plan(call: Call) -> TurnPlan:
     params = call.inbound.turn
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -116,9 +116,7 @@
         self._turns = TurnManager(
             ledger, ChainCache(), context.clock, context.tasks
         )
-        lifecycle = TurnLifecycle(
-            self._turns, self._router, context.clock, context.metrics
-        )
+        lifecycle = TurnLifecycle(self._turns, context.clock, context.metrics)
         chooser = EndpointChooser(
             self._selector,
             self._limits,
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -167,7 +167,6 @@
             TurnManager(
                 cast('LedgerClient', self.ledger), ChainCache(), clock, tasks
             ),
-            self.router,
             clock,
             self.metrics,
         )
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -5,12 +5,20 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import msgspec
 import pytest
 
 from acaciaramp.conversations.messages import (
     TurnKey,
 )
-from acaciaramp.routing.model import Route, RouteKind, WorkspacePolicy
+from acaciaramp.ids import ServiceName
+from acaciaramp.routing.model import (
+    Route,
+    RouteKind,
+    Service,
+    Target,
+    WorkspacePolicy,
+)
 from tests import builders as build
 from tests.forwarding.endpoint import (
     FakeCaller,
@@ -451,6 +459,31 @@
     run(RETAINED, scenario, streamed)
 
 
+# Guards against turns that cost nothing as a new routing table, which no longer
+# has their service, comes into force before they end.
+def test_a_turn_costs_its_tokens_though_its_service_is_removed() -> None:
+    other = ServiceName('other')
+    moved = build.routing_table(
+        msgspec.structs.replace(RETAINED, targets=(Target(other, 1),)),
+        version=2,
+        services=(Service(name=other, tokens_per_event=1),),
+    )
+
+    def move_route(request: ReceivedRequest) -> list[bytes | None]:
+        assert harnesses[0].router.install_table(moved)
+        return streamed(request)
+
+    harnesses: list[Harness] = []
+
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        harnesses.append(harness)
+        assert (await harness.request('a1', *TURN_HEADERS)).is_complete
+        (closed,) = harness.ledger.closed
+        assert (closed.turn.attempt, closed.tokens) == ('a1', 20)
+
+    run(RETAINED, scenario, move_route)
+
+
 def test_a_request_with_an_unknown_previous_turn_is_not_forwarded() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         caller = await harness.request(
