Keep a turn until the one that continues it has ended

Cause: the ledger keeps an expired turn while a stored turn continues it, but a turn is stored only when it ends. CloseTurn stored the new turn without its predecessor, and reading a chain ended silently at the gap. Entries that had the chain in their cache hid it.

OpenTurn now says how long the turn may last, and the ledger keeps the turn before for that time. CloseTurn stores no turn without the one that it continues and says so, and a chain is returned whole or not at all, so that no way is left to a cut chain.

Formats: two fields with defaults.

--- a/src/acaciaramp/conversations/client.py
+++ b/src/acaciaramp/conversations/client.py
@@ -92,7 +92,7 @@
             raise CallError(ErrorCode.INTERNAL, 'a reply of another kind')
         return reply
 
-    async def close_turn(self, req: CloseTurn, wait_ms: int) -> None:
+    async def close_turn(self, req: CloseTurn, wait_ms: int) -> CloseReply:
         """Close a turn: settle its tokens and store it if it is retained.
 
         The command is committed when this returns.
@@ -107,6 +107,7 @@
         reply = await self._request(req, wait_ms)
         if not isinstance(reply, CloseReply):
             raise CallError(ErrorCode.INTERNAL, 'a reply of another kind')
+        return reply
 
     async def _request(self, req: LedgerRequest, wait_ms: int) -> LedgerReply:
         deadline_ms = self._clock.now_ms() + wait_ms
--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import msgspec
 
 from acaciaramp.conversations.messages import (
@@ -25,9 +23,6 @@
 )
 from acaciaramp.ids import ProgramId, WorkspaceId
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 # As long as turns are retained, since callers may resume an idle program for
 # that time.
 ACCOUNT_RETENTION_MS = 180_000
@@ -36,7 +31,7 @@
 # entry instance keeps sending a command.
 ENDED_RETENTION_MS = 60_000
 # Expired state is removed once in so many commands.
-_SWEEP_INTERVAL_COMMANDS = 256
+SWEEP_INTERVAL_COMMANDS = 256
 _command_decoder = msgspec.msgpack.Decoder(LedgerCommand)
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -98,7 +93,7 @@
         # Wall clocks of entry instances differ; the ledger's time is monotonic.
         self._now_ms = max(self._now_ms, command.at_ms)
         self._commands += 1
-        if self._commands % _SWEEP_INTERVAL_COMMANDS == 0:
+        if self._commands % SWEEP_INTERVAL_COMMANDS == 0:
             self._sweep()
         if isinstance(command, OpenTurn):
             return self._open(command)
@@ -146,11 +141,17 @@
         """Return the contents of a turn and its predecessors, oldest first.
 
         Returns:
-            The concatenated contents; None if the turn is not stored.
+            The concatenated contents; None if one of the turns is not stored.
         """
-        if key not in self._turns:
-            return None
-        return b''.join(reversed(list(self._iter_contents(key))))
+        contents: list[bytes] = []
+        following: str | None = key.attempt
+        while following is not None:
+            turn = self._turns.get(TurnKey(key.workspace, following))
+            if turn is None:
+                return None
+            contents.append(turn.content)
+            following = turn.previous
+        return b''.join(reversed(contents))
 
     def account(self, key: TurnKey, program: ProgramId) -> Account:
         """Return the account of a program; create an empty one if missing."""
@@ -164,6 +165,11 @@
         reply = self._open_chain(command)
         if reply.outcome is not OpenOutcome.OPENED:
             return reply
+        if command.previous is not None:
+            self._keep(
+                TurnKey(key.workspace, command.previous),
+                self._now_ms + command.lasts_ms,
+            )
         if command.begins is not None:
             self._record_stream(key, command.begins)
         return msgspec.structs.replace(reply, origin=origin)
@@ -226,6 +232,17 @@
             endpoint=account.endpoint,
         )
 
+    def _keep(self, key: TurnKey, until_ms: int) -> None:
+        """Keep a stored turn at least until a time.
+
+        The turn that is about to continue it protects it only once it is stored.
+        """
+        stored = self._turns[key]
+        if stored.until_ms < until_ms:
+            self._turns[key] = msgspec.structs.replace(
+                stored, until_ms=until_ms
+            )
+
     def _close(self, command: CloseTurn) -> CloseReply:
         key = command.turn
         if command.program is not None:
@@ -235,18 +252,18 @@
             self._ended[key] = self._now_ms
             if account.reserved.pop(key.attempt, None) is not None:
                 account.settled += command.tokens
-        if command.kept is not None:
-            self._turns.setdefault(key, command.kept)
-        return CloseReply()
-
-    def _iter_contents(self, key: TurnKey) -> Iterator[bytes]:
-        """Yield the contents of a turn and its predecessors, newest first."""
-        turn = self._turns.get(key)
-        while turn is not None:
-            yield turn.content
-            if turn.previous is None:
-                return
-            turn = self._turns.get(TurnKey(key.workspace, turn.previous))
+        if command.kept is None:
+            return CloseReply()
+        return CloseReply(is_stored=self._store(key, command.kept))
+
+    def _store(self, key: TurnKey, kept: RetainedTurn) -> bool:
+        """Store a turn unless the one that it continues is not stored."""
+        if key in self._turns:
+            return True
+        previous = kept.previous
+        if previous is None or TurnKey(key.workspace, previous) in self._turns:
+            self._turns[key] = kept
+        return key in self._turns
 
     def _sweep(self) -> None:
         """Remove expired turns and streams, keys of ended turns, idle accounts.
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -76,6 +76,8 @@
         at_ms: Wall-clock time at the sender, milliseconds.
         begins: Stream that the turn begins; None if it cannot be resumed.
         resumes: Request id of the turn whose stream it resumes, if any.
+        lasts_ms: Longest time until the turn is closed, milliseconds; 0 if it
+            is not known.
     """
 
     turn: TurnKey
@@ -85,6 +87,7 @@
     at_ms: int = 0
     begins: BegunStream | None = None
     resumes: str | None = None
+    lasts_ms: int = 0
 
 
 class RetainedTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -168,7 +171,14 @@
 
 
 class CloseReply(msgspec.Struct, frozen=True, tag=True):
-    """Reply to :class:`CloseTurn`: the turn is settled and stored."""
+    """Reply to :class:`CloseTurn`: the turn is settled.
+
+    Attributes:
+        is_stored: Whether a retained turn is stored; it is not if the turn that
+            it continues has expired.
+    """
+
+    is_stored: bool = True
 
 
 class LedgerMessage(msgspec.Struct, frozen=True, tag=True):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -36,6 +36,9 @@
 # How much longer than the time limit of its request a stream may be resumed:
 # callers repeat a request several times within their own.
 _RESUME_MARGIN_MS = 60_000
+# A retained turn is committed before the end of its response is sent; this
+# limits the delay. The ledger elects a new leader within this time.
+_COMMIT_TIMEOUT_MS = 3_000
 # The ledger elects a new leader within about a second.
 LEDGER_RETRY_AFTER_MS = 500
 
@@ -200,6 +203,7 @@
             at_ms=self._clock.wall_ms(),
             begins=self._begun_stream(plan, plan.origin, 1),
             resumes=plan.resumes,
+            lasts_ms=plan.timeout_ms + _COMMIT_TIMEOUT_MS,
         )
         try:
             reply = await self._ledger.open_turn(req, wait_ms)
@@ -249,9 +253,7 @@
         await self._ledger.open_turn(req, wait_ms)
         turn.origin = origin
 
-    async def commit(
-        self, turn: OpenedTurn, result: TurnResult, wait_ms: int
-    ) -> None:
+    async def commit(self, turn: OpenedTurn, result: TurnResult) -> None:
         """Settle a complete turn and store it for later turns.
 
         The turn is committed to the ledger when this returns.
@@ -259,10 +261,10 @@
         Args:
             turn: The turn.
             result: What the endpoint generated.
-            wait_ms: Time limit, milliseconds.
 
         Raises:
-            CallError: The ledger did not reply in time.
+            CallError: The ledger did not reply in time, or the turn that this
+                one continues has expired.
         """
         plan = turn.plan
         content = plan.content + result.output
@@ -280,7 +282,12 @@
             at_ms=now_ms,
             endpoint=result.endpoint,
         )
-        await self._ledger.close_turn(req, wait_ms)
+        reply = await self._ledger.close_turn(req, _COMMIT_TIMEOUT_MS)
+        if not reply.is_stored:
+            raise CallError(
+                ErrorCode.UNKNOWN_STEP,
+                f'the turn "{plan.previous}" that it continues has expired',
+            )
         self._cache.put(plan.key, turn.chain + content)
 
     def settle(self, plan: TurnPlan, tokens: int, endpoint: str = '') -> None:
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -32,10 +32,6 @@
 
 logger = get_logger('gateway')
 
-# A retained turn is committed before the end of its response is sent; this
-# limits the delay. The ledger elects a new leader within this time.
-_COMMIT_TIMEOUT_MS = 3_000
-
 
 class TurnLifecycle:
     """Connects the calls of an entry instance with the ledger."""
@@ -176,10 +172,10 @@
         it is not stored.
 
         Raises:
-            CallError: The ledger did not commit it in time.
+            CallError: The ledger did not store it.
         """
         try:
-            await self._turns.commit(turn, result, _COMMIT_TIMEOUT_MS)
+            await self._turns.commit(turn, result)
         except CallError as exc:
             self._turns.settle(turn.plan, result.tokens, result.endpoint)
             raise CallError(
--- a/tests/conversations/test_ledger.py
+++ b/tests/conversations/test_ledger.py
@@ -11,6 +11,7 @@
 from acaciaramp.conversations.ledger import (
     ACCOUNT_RETENTION_MS,
     ENDED_RETENTION_MS,
+    SWEEP_INTERVAL_COMMANDS,
     Ledger,
 )
 from acaciaramp.conversations.messages import (
@@ -57,6 +58,12 @@
     close_turn(ledger, attempt, program=None, kept=kept)
 
 
+def sweep(ledger: Ledger, at_ms: int) -> None:
+    """Let the ledger remove what has expired at a time."""
+    for number in range(SWEEP_INTERVAL_COMMANDS):
+        close_turn(ledger, f'sweep-{number}', program=None, at_ms=at_ms)
+
+
 def test_open_turns_count_with_their_maximum() -> None:
     ledger = Ledger()
     outcomes = [open_turn(ledger, name).outcome for name in 'abcd']
@@ -173,6 +180,75 @@
     assert ledger.chain_of(key('next')) == b'23'
 
 
+def test_a_turn_is_kept_until_the_one_that_continues_it_ends() -> None:
+    ledger = Ledger()
+    retain(ledger, 'a', b'1')
+    open_turn(ledger, 'b', previous='a', at_ms=900, lasts_ms=3_000)
+    sweep(ledger, at_ms=3_900)
+    retain(ledger, 'b', b'2', previous='a')
+    assert ledger.chain_of(key('b')) == b'12'
+
+
+def test_a_turn_that_is_not_opened_does_not_keep_the_one_before() -> None:
+    ledger = Ledger()
+    retain(ledger, 'a', b'1')
+    too_large = Reservation(program=PROGRAM, most_tokens=30, budget=20)
+    open_turn(
+        ledger,
+        'b',
+        reservation=too_large,
+        previous='a',
+        at_ms=900,
+        lasts_ms=99_000,
+    )
+    sweep(ledger, at_ms=50_000)
+    assert ledger.chain_of(key('a')) is None
+
+
+def test_a_turn_is_not_stored_without_the_one_that_it_continues() -> None:
+    ledger = Ledger()
+    kept = RetainedTurn(previous='gone', content=b'2', until_ms=1_000)
+    command = CloseTurn(turn=key('b'), program=PROGRAM, tokens=20, kept=kept)
+    open_turn(ledger, 'b')
+    reply = ledger.apply(msgspec.msgpack.encode(command))
+    assert reply == CloseReply(is_stored=False)
+    assert ledger.chain_of(key('b')) is None
+    assert ledger.account(key('b'), PROGRAM).spent == 20
+
+
+# Each turn ends the time in the first member after the one before was opened,
+# and is opened the time in the second member after that one ended.
+@given(st.lists(st.tuples(st.integers(0, 99), st.integers(0, 2_000))))
+def test_a_stored_chain_is_whole(turns: list[tuple[int, int]]) -> None:
+    ledger = Ledger()
+    now_ms = 0
+    stored: list[str] = []
+    for number, (length_ms, pause_ms) in enumerate(turns):
+        previous = stored[-1] if stored else None
+        opened = open_turn(
+            ledger,
+            str(number),
+            reservation=None,
+            previous=previous,
+            at_ms=now_ms,
+            lasts_ms=99,
+        )
+        if opened.outcome is not OpenOutcome.OPENED:
+            stored = []
+            continue
+        now_ms += length_ms
+        sweep(ledger, at_ms=now_ms)
+        kept = RetainedTurn(
+            previous=previous, content=b'%d.' % number, until_ms=now_ms + 1_000
+        )
+        close_turn(ledger, str(number), program=None, kept=kept, at_ms=now_ms)
+        stored.append(str(number))
+        expected = ''.join(f'{name}.' for name in stored).encode()
+        assert ledger.chain_of(key(stored[-1])) == expected
+        now_ms += pause_ms
+        sweep(ledger, at_ms=now_ms)
+
+
 def test_accounts_are_kept_for_their_retention_time() -> None:
     ledger = Ledger()
     open_turn(ledger, 'a')
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -11,11 +11,13 @@
 
 from acaciaramp.clock import SystemClock
 from acaciaramp.conversations.cache import ChainCache
-from acaciaramp.conversations.ledger import Ledger
+from acaciaramp.conversations.ledger import SWEEP_INTERVAL_COMMANDS, Ledger
 from acaciaramp.conversations.messages import (
+    CloseReply,
     CloseTurn,
     OpenReply,
     OpenTurn,
+    TurnKey,
 )
 from acaciaramp.conversations.turns import TurnManager
 from acaciaramp.coordination.codec import encode
@@ -31,7 +33,7 @@
 from acaciaramp.forwarding.reach import Reach
 from acaciaramp.forwarding.selector import EndpointSelector
 from acaciaramp.forwarding.turns import TurnLifecycle
-from acaciaramp.ids import AvailabilityZone
+from acaciaramp.ids import AvailabilityZone, WorkspaceId
 from acaciaramp.limits.quota import Quota
 from acaciaramp.metrics.client import Metrics
 from acaciaramp.platform.headers import PlatformCodec
@@ -104,13 +106,21 @@
         assert isinstance(reply, OpenReply)
         return reply
 
-    async def close_turn(self, req: CloseTurn, wait_ms: int) -> None:
+    async def close_turn(self, req: CloseTurn, wait_ms: int) -> CloseReply:
         """Apply the command unless the ledger is down."""
         self._check()
         if req.kept is not None and not self.stores_turns:
             raise CallError(ErrorCode.HOME_UNREACHABLE, 'nobody answers')
         self.closed.append(req)
-        self.state_machine.apply(encode(req))
+        reply = self.state_machine.apply(encode(req))
+        assert isinstance(reply, CloseReply)
+        return reply
+
+    def sweep(self, at_ms: int) -> None:
+        """Let the ledger remove what has expired at a time."""
+        for number in range(SWEEP_INTERVAL_COMMANDS):
+            key = TurnKey(WorkspaceId('sweep'), str(number))
+            self.state_machine.apply(encode(CloseTurn(turn=key, at_ms=at_ms)))
 
     def _check(self) -> None:
         if self.is_down:
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -411,6 +411,55 @@
     run(RETAINED, scenario, streamed)
 
 
+# Guards against a turn that loses the history before it, as the turn that it
+# continues expires while it is under way.
+def test_a_turn_keeps_its_history_though_it_ends_after_its_predecessor() -> (
+    None
+):
+    briefly = build.route(is_retained=True, retention_ms=1)
+
+    def let_expire(request: ReceivedRequest) -> list[bytes | None]:
+        if request.attempt == b'a2':
+            (first,) = harnesses[0].ledger.closed
+            assert first.kept is not None
+            at_ms = first.kept.until_ms + briefly.timeout_ms
+            harnesses[0].ledger.sweep(at_ms)
+        return streamed(request)
+
+    harnesses: list[Harness] = []
+
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        harnesses.append(harness)
+        await harness.request('a1')
+        continued = (b'x-previous-turn', b'a1')
+        assert (await harness.request('a2', continued)).is_complete
+        chain = harness.ledger.state_machine.chain_of(
+            TurnKey(build.WORKSPACE, 'a2')
+        )
+        assert chain == 2 * b'inputone\ntwo\n'
+
+    run(briefly, scenario, let_expire)
+
+
+def test_a_response_is_not_ended_if_its_history_has_expired() -> None:
+    def remove(request: ReceivedRequest) -> list[bytes | None]:
+        if request.attempt == b'a2':
+            harnesses[0].ledger.state_machine.restore(b'')
+        return streamed(request)
+
+    harnesses: list[Harness] = []
+
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        harnesses.append(harness)
+        await harness.request('a1')
+        caller = await harness.request('a2', (b'x-previous-turn', b'a1'))
+        assert not caller.is_complete
+        key = TurnKey(build.WORKSPACE, 'a2')
+        assert harness.ledger.state_machine.chain_of(key) is None
+
+    run(RETAINED, scenario, remove)
+
+
 def test_a_turn_is_committed_before_its_response_ends() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         caller = FakeCaller()
