Read the body of a request that asks for an upgrade

A POST with "Connection: Upgrade" and any "Upgrade" reached its endpoint with an empty body and was answered 200.

Cause: the parser ends a message that asks for an upgrade at its head and leaves the rest to the other protocol. The web server supports none and went on with the next segment as if a new message began.

The connection class of all listeners now replaces the parser at such a head by one that gets the parsed head again without its Upgrade field, then the rest: the message keeps its own framing and goes through the same path as any other, as RFC 9110, 7.8, has it.

Tests: with the web server's own class in place of the new one, 14 of the 18 tests of test_http_protocol.py fail: the body is empty.

That it is what the users saw is likely, not shown: their record has no heads.

--- a/src/acaciaramp/util/header_limits.py
+++ b/src/acaciaramp/util/header_limits.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
-
 from acaciaramp.clock import MS_PER_SECOND
+from acaciaramp.util.http_protocol import RequestProtocol
 
 if TYPE_CHECKING:
     import asyncio
@@ -32,7 +31,7 @@
     longest_ms: int
 
 
-class HeaderLimitProtocol(HttpToolsProtocol):
+class HeaderLimitProtocol(RequestProtocol):
     """Server connection that rejects slow, oversized and malformed headers.
 
     A rejected request gets an HTTP status, and the connection is closed.
@@ -78,6 +77,9 @@
 
     def on_headers_complete(self) -> None:
         """Cancel the header timer; reject the request if headers are too large."""
+        if self.parser.should_upgrade():
+            super().on_headers_complete()
+            return
         self._is_reading_headers = False
         self._header_bytes = 0
         self._cancel_header_timer()
--- /dev/null
+++ b/src/acaciaramp/util/http_protocol.py
@@ -0,0 +1,76 @@
+"""HTTP connections of callers, without other protocols on them.
+
+An upgrade to another protocol is ignored, as RFC 9110, section 7.8, allows: the
+request is read as if it had no ``Upgrade`` field.
+"""
+
+from __future__ import annotations
+
+import httptools
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+_UPGRADE = b'upgrade'
+_CONNECT = b'CONNECT'
+
+
+class _UnsupportedMethodError(Exception):
+    """The method makes the connection a tunnel, which no listener offers."""
+
+
+class RequestProtocol(HttpToolsProtocol):
+    """Server connection that reads the body of every request.
+
+    The parser ends a message that asks for an upgrade at its head and takes its
+    body for the other protocol. It is replaced by one that gets the head again
+    without the request for an upgrade, and then the body.
+    """
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived; reject what is not valid HTTP."""
+        self._unset_keepalive_if_required()
+        unparsed = data
+        while unparsed:
+            unparsed = self._parse(unparsed)
+
+    def on_headers_complete(self) -> None:
+        """Start the request unless its head is to be parsed again.
+
+        Raises:
+            _UnsupportedMethodError: The parser has to stop at the head.
+        """
+        if self.parser.get_method() == _CONNECT:
+            raise _UnsupportedMethodError
+        if not self.parser.should_upgrade():
+            super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """End the body of the request unless its head is to be parsed again."""
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
+    def _parse(self, data: bytes) -> bytes:
+        """Parse bytes and return those that are to be parsed next."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            head_end: int = exc.args[0]
+            head = self._head_without_upgrade()
+            self.parser = httptools.HttpRequestParser(self)
+            self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+            return head + data[head_end:]
+        except httptools.HttpParserError:
+            self.send_400_response('Invalid HTTP request received.')
+        return b''
+
+    def _head_without_upgrade(self) -> bytes:
+        """Return the head that was parsed last without its ``Upgrade`` fields."""
+        version = self.parser.get_http_version().encode()
+        lines = [
+            b'%s %s HTTP/%s' % (self.parser.get_method(), self.url, version)
+        ]
+        lines.extend(
+            b'%s: %s' % (name, field)
+            for name, field in self.headers
+            if name != _UPGRADE
+        )
+        return b'\r\n'.join((*lines, b'', b''))
--- a/src/acaciaramp/util/webserver.py
+++ b/src/acaciaramp/util/webserver.py
@@ -9,6 +9,8 @@
 import anyio
 import uvicorn
 
+from acaciaramp.util.http_protocol import RequestProtocol
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
@@ -43,7 +45,7 @@
 
 @contextlib.asynccontextmanager
 async def running_server(
-    app: ASGIApp, socks: list[socket.socket], protocol: Any = 'httptools'
+    app: ASGIApp, socks: list[socket.socket], protocol: Any = RequestProtocol
 ) -> AsyncIterator[uvicorn.Server]:
     """Serve an application while the body of the ``async with`` runs.
 
@@ -53,7 +55,7 @@
     Args:
         app: The ASGI application.
         socks: Bound sockets to listen on.
-        protocol: Class of the connections, or the name of one in uvicorn.
+        protocol: Class of the connections.
 
     Yields:
         The server.
--- /dev/null
+++ b/tests/util/test_http_protocol.py
@@ -0,0 +1,166 @@
+"""Requests that arrive on a connection, byte for byte."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import pytest
+
+from acaciaramp.util.header_limits import HeaderLimitProtocol, HeaderLimits
+from acaciaramp.util.http_protocol import RequestProtocol
+from acaciaramp.util.webserver import bind_socket, running_server
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from anyio.abc import SocketStream
+    from starlette.types import Receive, Scope, Send
+
+_LIMITS = HeaderLimits(most_bytes=1_000, longest_ms=60_000)
+LIMITED = functools.partial(HeaderLimitProtocol, lambda: _LIMITS)
+PROTOCOLS = [RequestProtocol, LIMITED]
+# Reached only if an expected response never comes.
+_TIMEOUT_S = 10
+_BODY = b'GET /hidden HTTP/1.1\r\nhost: h\r\n\r\n'
+
+
+class RecordingApp:
+    """An ASGI application that records requests and answers them with 200.
+
+    Attributes:
+        received: Method, path and body of each request whose body has ended.
+    """
+
+    def __init__(self) -> None:
+        """Create the application."""
+        self.received: list[tuple[str, bytes, bytes]] = []
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Record a request and answer it."""
+        body = b''
+        has_more = True
+        while has_more:
+            message = await receive()
+            body += message.get('body', b'')
+            has_more = message.get('more_body', False)
+        self.received.append((scope['method'], scope['raw_path'], body))
+        headers = [(b'content-length', b'0')]
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': headers}
+        )
+        await send({'type': 'http.response.body'})
+
+
+@contextlib.asynccontextmanager
+async def connected(app: Any, protocol: Any) -> AsyncIterator[SocketStream]:
+    """Serve an application and yield a connection to it."""
+    sock = bind_socket('127.0.0.1', 0)
+    async with (
+        running_server(app, [sock], protocol),
+        await anyio.connect_tcp(*sock.getsockname()) as stream,
+    ):
+        yield stream
+
+
+def requests_of(protocol: Any, *segments: bytes, answers: int = 1) -> list[Any]:
+    """Return what an application gets from a connection.
+
+    Args:
+        protocol: Class of the connection.
+        *segments: Bytes that are sent, with a pause after each.
+        answers: Number of responses that have to come.
+    """
+    app = RecordingApp()
+
+    async def scenario() -> None:
+        async with connected(app, protocol) as stream:
+            for segment in segments:
+                await stream.send(segment)
+                await anyio.sleep(0.01)
+            with anyio.fail_after(_TIMEOUT_S):
+                while len(app.received) < answers:
+                    await anyio.sleep(0.001)
+            # Another request shows that the connection is in order.
+            await stream.send(b'GET /last HTTP/1.1\r\nhost: h\r\n\r\n')
+            with anyio.fail_after(_TIMEOUT_S):
+                while app.received[-1][1] != b'/last':
+                    await anyio.sleep(0.001)
+
+    anyio.run(scenario)
+    return app.received[:-1]
+
+
+def head(upgrade: str, framing: str) -> bytes:
+    """Return the head of a request that asks for an upgrade."""
+    lines = (
+        'POST /a?b HTTP/1.1',
+        'Host: h',
+        'Connection: Upgrade, HTTP2-Settings',
+        f'Upgrade: {upgrade}',
+        'HTTP2-Settings: AAMAAABk',
+        framing,
+        '',
+        '',
+    )
+    return '\r\n'.join(lines).encode()
+
+
+FRAMINGS = [
+    (f'Content-Length: {len(_BODY)}', _BODY),
+    (
+        'Transfer-Encoding: chunked',
+        b'%x\r\n%s\r\n0\r\n\r\n' % (len(_BODY), _BODY),
+    ),
+]
+
+
+# Guards against a body that is taken for another protocol, or for the next
+# request of the connection, as its head asks for an upgrade.
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+@pytest.mark.parametrize('upgrade', ['h2c', 'websocket', 'TLS/1.3'])
+@pytest.mark.parametrize(('framing', 'wire'), FRAMINGS)
+def test_the_body_of_a_request_that_asks_for_an_upgrade_is_read(
+    protocol: Any, upgrade: str, framing: str, wire: bytes
+) -> None:
+    request = head(upgrade, framing)
+    expected = [('POST', b'/a', _BODY)]
+    assert requests_of(protocol, request + wire) == expected
+    assert requests_of(protocol, request, wire) == expected
+    middle = len(request) // 2
+    segments = (request[:middle], request[middle:] + wire[:9], wire[9:])
+    assert requests_of(protocol, *segments) == expected
+
+
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_requests_after_one_that_asks_for_an_upgrade_are_read(
+    protocol: Any,
+) -> None:
+    framing, wire = FRAMINGS[0]
+    request = head('h2c', framing) + wire
+    expected = 3 * [('POST', b'/a', _BODY)]
+    assert requests_of(protocol, 3 * request, answers=3) == expected
+
+
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_an_upgrade_without_a_body_is_ignored(protocol: Any) -> None:
+    request = head('websocket', 'Content-Length: 0')
+    assert requests_of(protocol, request) == [('POST', b'/a', b'')]
+
+
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_a_tunnel_is_refused(protocol: Any) -> None:
+    app = RecordingApp()
+
+    async def scenario() -> bytes:
+        async with connected(app, protocol) as stream:
+            await stream.send(b'CONNECT h:80 HTTP/1.1\r\nhost: h\r\n\r\n')
+            with anyio.fail_after(_TIMEOUT_S):
+                return await stream.receive()
+
+    assert anyio.run(scenario).startswith(b'HTTP/1.1 400 ')
+    assert not app.received
