Forward targets as they were sent

/x? reached its endpoint as /x, /x#f as /x, /x?a# as /x?a, and the absolute form without scheme and authority, all answered 200 (UNASKED: path or query changed).

Cause: the web server splits targets, ASGI hands on path and query only, and the platform's codec and the plain services of acaciaramp serve joined them again.

The connection passes the target on as it came. One that does not begin with a slash, or that has a fragment, is refused with 400 by every listener, with a reason. Rejections of connections without limits say the reason too.

--- a/src/acaciaramp/entry/services.py
+++ b/src/acaciaramp/entry/services.py
@@ -13,6 +13,7 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import ProgramId, ServiceName, StepNumber, WorkspaceId
 from acaciaramp.records import Header, StepKind, StepRequest
+from acaciaramp.util.http_protocol import request_target
 
 if TYPE_CHECKING:
     from starlette.requests import Request
@@ -146,8 +147,8 @@
 
 
 def _with_query(path: str, req: Request) -> str:
-    query = req.url.query
-    return f'{path}?{query}' if query else path
+    _, mark, query = request_target(req.scope).decode('ascii').partition('?')
+    return f'{path}{mark}{query}'
 
 
 def _check_path(path: str) -> None:
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -16,6 +16,7 @@
 )
 from acaciaramp.ids import ProgramId
 from acaciaramp.platform.statuses import http_status
+from acaciaramp.util.http_protocol import request_target
 from acaciaramp.util.logs import get_logger
 from acaciaramp.util.numbers import parse_count, parse_decimal
 
@@ -88,15 +89,13 @@
         attempt = _text(by_name, _ATTEMPT)
         if not attempt:
             raise CallError(ErrorCode.BAD_REQUEST, 'the request has no id')
-        target = scope['raw_path']
-        if scope['query_string']:
-            target = b'%s?%s' % (target, scope['query_string'])
+        target = request_target(scope)
         return InboundRequest(
             attempt=attempt,
             method=scope['method'],
             target=target,
             host=_text(by_name, _HOST).partition(':')[0].lower(),
-            path=scope['raw_path'].decode('latin-1'),
+            path=target.partition(b'?')[0].decode('latin-1'),
             key=_bearer_key(by_name.get(b'authorization', b'')),
             wait_ms=_int_or_none(by_name, _DEADLINE),
             object_key=_text(by_name, b'x-affinity-key'),
--- a/src/acaciaramp/util/header_limits.py
+++ b/src/acaciaramp/util/header_limits.py
@@ -90,8 +90,8 @@
         super().on_headers_complete()
 
     def send_400_response(self, msg: str) -> None:
-        """Reject a request that is not valid HTTP."""
-        self.reject(_BAD_REQUEST, 'the request is not valid HTTP')
+        """Reject a request for a reason."""
+        self.reject(_BAD_REQUEST, msg)
 
     def start_header_timer(self) -> None:
         """Reject the request unless its headers complete within the limit."""
--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -6,15 +6,24 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any, NoReturn
+
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 _UPGRADE = b'upgrade'
 _CONNECT = b'CONNECT'
 
 
-class _UnsupportedMethodError(Exception):
-    """The method makes the connection a tunnel, which no listener offers."""
+# Extension of ASGI scopes with the target of the request.
+_TARGET = 'acaciaramp.target'
+
+
+class _RejectedError(Exception):
+    """A request was rejected; nothing more is parsed of its connection."""
 
 
 class RequestProtocol(HttpToolsProtocol):
@@ -36,11 +45,15 @@
         """Start the request unless its head is to be parsed again.
 
         Raises:
-            _UnsupportedMethodError: The parser has to stop at the head.
+            _RejectedError: The request is not for an origin server.
         """
         if self.parser.get_method() == _CONNECT:
-            raise _UnsupportedMethodError
+            self._reject('a connection cannot become a tunnel')
+        # Applications get the target without its fragment or authority.
+        if not self.url.startswith(b'/') or b'#' in self.url:
+            self._reject('a target begins with "/" and has no fragment')
         if not self.parser.should_upgrade():
+            self.scope['extensions'] = target_extension(self.url)
             super().on_headers_complete()
 
     def on_message_complete(self) -> None:
@@ -59,9 +72,14 @@
             self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
             return head + data[head_end:]
         except httptools.HttpParserError:
-            self.send_400_response('Invalid HTTP request received.')
+            if not self.transport.is_closing():
+                self.send_400_response('the request is not valid HTTP')
         return b''
 
+    def _reject(self, reason: str) -> NoReturn:
+        self.send_400_response(reason)
+        raise _RejectedError(reason)
+
     def _head_without_upgrade(self) -> bytes:
         """Return the head that was parsed last without its ``Upgrade`` fields."""
         version = self.parser.get_http_version().encode()
@@ -74,3 +92,21 @@
             if name != _UPGRADE
         )
         return b'\r\n'.join((*lines, b'', b''))
+
+
+def request_target(scope: Mapping[str, Any]) -> bytes:
+    """Return the target of a request, byte for byte as the caller sent it.
+
+    The path and the query string that ASGI defines do not tell ``/`` from
+    ``/?``.
+
+    Args:
+        scope: ASGI scope of a request on a ``RequestProtocol``.
+    """
+    target: bytes = scope['extensions'][_TARGET]['target']
+    return target
+
+
+def target_extension(target: bytes) -> dict[str, Any]:
+    """Return the extensions of an ASGI scope for a request target."""
+    return {_TARGET: {'target': target}}
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -38,6 +38,7 @@
 from acaciaramp.metrics.client import Metrics
 from acaciaramp.platform.headers import PlatformCodec
 from acaciaramp.routing.router import Router
+from acaciaramp.util.http_protocol import target_extension
 from tests import builders as build
 from tests.forwarding.endpoint import (
     FakeCaller,
@@ -226,6 +227,7 @@
         attempt: str = 'a1',
         *headers: tuple[bytes, bytes],
         caller: FakeCaller | None = None,
+        target: bytes = b'/chat/1',
         **changes: Any,
     ) -> FakeCaller:
         """Serve one request and return its caller.
@@ -234,13 +236,13 @@
             attempt: Id of the request.
             *headers: Additional headers.
             caller: The caller; None for a new one.
+            target: Target of the request.
             **changes: Members of the ASGI scope to replace.
         """
         caller = caller or FakeCaller()
         scope = {
             'method': 'POST',
-            'raw_path': b'/chat/1',
-            'query_string': b'',
+            'extensions': target_extension(target),
             'headers': [
                 (b'host', b'example.test'),
                 (b'x-attempt-id', attempt.encode()),
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -301,7 +301,7 @@
 @pytest.mark.parametrize(
     ('changes', 'status'),
     [
-        ({'raw_path': b'/none/1'}, 404),
+        ({'target': b'/none/1'}, 404),
         ({'headers': [(b'host', b'other.test'), (b'x-attempt-id', b'a')]}, 404),
         (
             {'headers': [(b'host', b'example.test'), (b'x-attempt-id', b'a')]},
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -10,6 +10,7 @@
 from acaciaramp.forwarding.messages import EndpointLoad, TurnParams
 from acaciaramp.ids import ProgramId, WorkspaceId
 from acaciaramp.platform.headers import PlatformCodec
+from acaciaramp.util.http_protocol import target_extension
 from acaciaramp.verdicts import Verdict
 from tests import builders as build
 
@@ -20,8 +21,7 @@
 def scope(*headers: tuple[bytes, bytes], **changes: Any) -> dict[str, Any]:
     return {
         'method': 'POST',
-        'raw_path': b'/chat/%31',
-        'query_string': b'',
+        'extensions': target_extension(b'/chat/%31'),
         'headers': [*REQUIRED_HEADERS, *headers],
     } | changes
 
@@ -41,15 +41,24 @@
             (b'authorization', b'Bearer k1'),
             (b'x-deadline-ms', b'3000'),
             (b'x-affinity-key', b'thing'),
-            query_string=b'q=1',
+            extensions=target_extension(b'/chat/%31?q=1'),
         )
     )
     assert inbound.host == 'example.test'
     assert inbound.target == b'/chat/%31?q=1'
+    assert inbound.path == '/chat/%31'
     assert (inbound.attempt, inbound.key) == ('a1', 'k1')
     assert (inbound.wait_ms, inbound.object_key) == (3_000, 'thing')
 
 
+# Guards against a target that is put together again without its empty query.
+@pytest.mark.parametrize('target', [b'/chat/1?', b'/chat/1??', b'//chat/?a=?'])
+def test_target_is_kept_as_it_was_sent(target: bytes) -> None:
+    inbound = CODEC.read_request(scope(extensions=target_extension(target)))
+    assert inbound.target == target
+    assert inbound.path == target.partition(b'?')[0].decode()
+
+
 def test_turn_params_are_decoded() -> None:
     inbound = CODEC.read_request(
         scope(
--- a/tests/util/test_http_protocol.py
+++ b/tests/util/test_http_protocol.py
@@ -10,7 +10,7 @@
 import pytest
 
 from acaciaramp.util.header_limits import HeaderLimitProtocol, HeaderLimits
-from acaciaramp.util.http_protocol import RequestProtocol
+from acaciaramp.util.http_protocol import RequestProtocol, request_target
 from acaciaramp.util.webserver import bind_socket, running_server
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
     """An ASGI application that records requests and answers them with 200.
 
     Attributes:
-        received: Method, path and body of each request whose body has ended.
+        received: Method, target and body of each request whose body has ended.
     """
 
     def __init__(self) -> None:
@@ -48,7 +48,8 @@
             message = await receive()
             body += message.get('body', b'')
             has_more = message.get('more_body', False)
-        self.received.append((scope['method'], scope['raw_path'], body))
+        target = request_target(scope)
+        self.received.append((scope['method'], target, body))
         headers = [(b'content-length', b'0')]
         await send(
             {'type': 'http.response.start', 'status': 200, 'headers': headers}
@@ -128,7 +129,7 @@
     protocol: Any, upgrade: str, framing: str, wire: bytes
 ) -> None:
     request = head(upgrade, framing)
-    expected = [('POST', b'/a', _BODY)]
+    expected = [('POST', b'/a?b', _BODY)]
     assert requests_of(protocol, request + wire) == expected
     assert requests_of(protocol, request, wire) == expected
     middle = len(request) // 2
@@ -142,23 +143,49 @@
 ) -> None:
     framing, wire = FRAMINGS[0]
     request = head('h2c', framing) + wire
-    expected = 3 * [('POST', b'/a', _BODY)]
+    expected = 3 * [('POST', b'/a?b', _BODY)]
     assert requests_of(protocol, 3 * request, answers=3) == expected
 
 
 @pytest.mark.parametrize('protocol', PROTOCOLS)
 def test_an_upgrade_without_a_body_is_ignored(protocol: Any) -> None:
     request = head('websocket', 'Content-Length: 0')
-    assert requests_of(protocol, request) == [('POST', b'/a', b'')]
+    assert requests_of(protocol, request) == [('POST', b'/a?b', b'')]
 
 
 @pytest.mark.parametrize('protocol', PROTOCOLS)
-def test_a_tunnel_is_refused(protocol: Any) -> None:
+@pytest.mark.parametrize(
+    'target',
+    ['/', '/?', '/a??', '//a/../b', '/a?b=/?&&=', '/%61%2F%?%zz', '/a;b,c?:@'],
+)
+def test_a_target_is_passed_on_as_it_was_sent(
+    protocol: Any, target: str
+) -> None:
+    request = f'GET {target} HTTP/1.1\r\nhost: h\r\n\r\n'.encode()
+    assert requests_of(protocol, request) == [('GET', target.encode(), b'')]
+
+
+# What an application would get without a part of it is refused.
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+@pytest.mark.parametrize(
+    'first_line',
+    [
+        'CONNECT h:80',
+        'GET /a#f',
+        'GET /a?b#',
+        'GET /#',
+        'GET http://h/a?b',
+        'OPTIONS *',
+    ],
+)
+def test_a_request_that_is_not_for_an_origin_server_is_refused(
+    protocol: Any, first_line: str
+) -> None:
     app = RecordingApp()
 
     async def scenario() -> bytes:
         async with connected(app, protocol) as stream:
-            await stream.send(b'CONNECT h:80 HTTP/1.1\r\nhost: h\r\n\r\n')
+            await stream.send(f'{first_line} HTTP/1.1\r\n\r\n'.encode())
             with anyio.fail_after(_TIMEOUT_S):
                 return await stream.receive()
 
