Tell every request of a connection that its caller has gone

With pipelined requests, only the newest one learned that its connection was lost.

Cause: the web server keeps one current request of a connection, the newest, and marks only that one as disconnected.

The connection now keeps the requests that have no whole response yet, in order, and marks all of them.

Test: test_each_request_learns_that_its_caller_has_gone; without the change it fails by its timeout on both kinds of connection.

--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, Any, NoReturn
 
 import httptools
@@ -14,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
+
 _UPGRADE = b'upgrade'
 _CONNECT = b'CONNECT'
 
@@ -34,6 +37,27 @@
     without the request for an upgrade, and then the body.
     """
 
+    def __init__(self, **kwargs: Any) -> None:
+        """Create the connection.
+
+        Args:
+            **kwargs: Arguments that uvicorn passes to every connection.
+        """
+        super().__init__(**kwargs)
+        self._unfinished: collections.deque[RequestResponseCycle] = (
+            collections.deque()
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell every request of the connection that its caller has gone.
+
+        The web server tells the newest one only.
+        """
+        for cycle in self._unfinished:
+            cycle.disconnected = True
+            cycle.message_event.set()
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived; reject what is not valid HTTP."""
         self._unset_keepalive_if_required()
@@ -55,12 +79,18 @@
         if not self.parser.should_upgrade():
             self.scope['extensions'] = target_extension(self.url)
             super().on_headers_complete()
+            self._unfinished.append(self.cycle)
 
     def on_message_complete(self) -> None:
         """End the body of the request unless its head is to be parsed again."""
         if not self.parser.should_upgrade():
             super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Start the next request; responses are sent in the order of requests."""
+        self._unfinished.popleft()
+        super().on_response_complete()
+
     def _parse(self, data: bytes) -> bytes:
         """Parse bytes and return those that are to be parsed next."""
         try:
--- a/tests/util/test_http_protocol.py
+++ b/tests/util/test_http_protocol.py
@@ -191,3 +191,27 @@
 
     assert anyio.run(scenario).startswith(b'HTTP/1.1 400 ')
     assert not app.received
+
+
+# Guards against requests that go on at an endpoint for a caller that has gone.
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_each_request_learns_that_its_caller_has_gone(protocol: Any) -> None:
+    has_started = anyio.Event()
+    is_told = anyio.Event()
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        has_started.set()
+        kind = ''
+        while kind != 'http.disconnect':
+            kind = (await receive())['type']
+        is_told.set()
+
+    async def scenario() -> None:
+        async with connected(app, protocol) as stream:
+            await stream.send(3 * b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n')
+            await has_started.wait()
+            await stream.aclose()
+            with anyio.fail_after(_TIMEOUT_S):
+                await is_told.wait()
+
+    anyio.run(scenario)
