Reject a request after the responses to those before it

Cause: rejections were written without regard to requests under way, and on_headers_complete returned early, after which the parser went on with the body of the rejected message.

A rejection now waits for the responses before it; then the connection is closed. The parser stops at a rejected head, and later bytes are dropped.

--- a/src/acaciaramp/forwarding/protocol.py
+++ b/src/acaciaramp/forwarding/protocol.py
@@ -44,11 +44,10 @@
         self.timeout_keep_alive = self._router.limits.idle_ms // MS_PER_SECOND
         super().on_response_complete()
 
-    def reject(self, status: bytes, message: str) -> None:
-        """Reject a request with invalid headers and close the connection."""
+    def record_rejection(self, message: str) -> None:
+        """Count and log a request with invalid headers."""
         self._metrics.count(Counter.BAD_INPUT, BadInput.HEADERS)
         logger.warning(
             'Rejected the headers of a request; closing the connection.',
             reason=message,
         )
-        super().reject(status, message)
--- a/src/acaciaramp/util/header_limits.py
+++ b/src/acaciaramp/util/header_limits.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from acaciaramp.clock import MS_PER_SECOND
-from acaciaramp.util.http_protocol import RequestProtocol
+from acaciaramp.util.http_protocol import RejectedError, RequestProtocol
 
 if TYPE_CHECKING:
     import asyncio
@@ -13,7 +13,6 @@
 
 _HEADERS_TOO_LARGE = b'431 Request Header Fields Too Large'
 _TIMEOUT = b'408 Request Timeout'
-_BAD_REQUEST = b'400 Bad Request'
 
 
 class HeaderLimits(NamedTuple):
@@ -32,10 +31,7 @@
 
 
 class HeaderLimitProtocol(RequestProtocol):
-    """Server connection that rejects slow, oversized and malformed headers.
-
-    A rejected request gets an HTTP status, and the connection is closed.
-    """
+    """Server connection that rejects slow and oversized headers."""
 
     def __init__(
         self, header_limits: Callable[[], HeaderLimits], **kwargs: Any
@@ -76,7 +72,12 @@
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
-        """Cancel the header timer; reject the request if headers are too large."""
+        """Cancel the header timer; reject the request if headers are too large.
+
+        Raises:
+            RejectedError: They are; the parser stops, as the body of the request
+                must not be taken for that of the one before.
+        """
         if self.parser.should_upgrade():
             super().on_headers_complete()
             return
@@ -85,14 +86,9 @@
         self._cancel_header_timer()
         size = sum(len(name) + len(text) for name, text in self.headers)
         if size > self._header_limits().most_bytes:
-            self._reject_oversized()
-            return
+            raise self._reject_oversized()
         super().on_headers_complete()
 
-    def send_400_response(self, msg: str) -> None:
-        """Reject a request for a reason."""
-        self.reject(_BAD_REQUEST, msg)
-
     def start_header_timer(self) -> None:
         """Reject the request unless its headers complete within the limit."""
         self._header_timer = self.loop.call_later(
@@ -100,29 +96,9 @@
             self._on_header_timeout,
         )
 
-    def reject(self, status: bytes, message: str) -> None:
-        """Respond with a status and close the connection.
-
-        Args:
-            status: Status code and reason phrase.
-            message: The reason, for the response body.
-        """
-        if not self.transport.is_closing():
-            headers, body = self.rejection_body(message)
-            self.transport.write(
-                b'HTTP/1.1 %s\r\n%scontent-length: %d\r\n'
-                b'connection: close\r\n\r\n%s'
-                % (status, headers, len(body), body)
-            )
-            self.transport.close()
-
-    def rejection_body(self, message: str) -> tuple[bytes, bytes]:
-        """Return the headers and body of a rejection; empty by default."""
-        return b'', b''
-
-    def _reject_oversized(self) -> None:
+    def _reject_oversized(self) -> RejectedError:
         max_bytes = self._header_limits().most_bytes
-        self.reject(
+        return self.rejected(
             _HEADERS_TOO_LARGE,
             f'headers may have {max_bytes} bytes at most',
         )
--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING, Any, NoReturn
+from typing import TYPE_CHECKING, Any
 
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -17,6 +17,7 @@
 
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
+BAD_REQUEST = b'400 Bad Request'
 _UPGRADE = b'upgrade'
 _CONNECT = b'CONNECT'
 
@@ -25,7 +26,7 @@
 _TARGET = 'acaciaramp.target'
 
 
-class _RejectedError(Exception):
+class RejectedError(Exception):
     """A request was rejected; nothing more is parsed of its connection."""
 
 
@@ -35,6 +36,9 @@
     The parser ends a message that asks for an upgrade at its head and takes its
     body for the other protocol. It is replaced by one that gets the head again
     without the request for an upgrade, and then the body.
+
+    A request that is rejected gets an HTTP status once the requests before it
+    have their responses; then the connection is closed.
     """
 
     def __init__(self, **kwargs: Any) -> None:
@@ -47,6 +51,7 @@
         self._unfinished: collections.deque[RequestResponseCycle] = (
             collections.deque()
         )
+        self._rejection: bytes | None = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell every request of the connection that its caller has gone.
@@ -59,9 +64,12 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what has arrived; reject what is not valid HTTP."""
+        """Parse what has arrived; reject what is not valid HTTP.
+
+        Bytes after a rejected head belong to no request.
+        """
         self._unset_keepalive_if_required()
-        unparsed = data
+        unparsed = data if self._rejection is None else b''
         while unparsed:
             unparsed = self._parse(unparsed)
 
@@ -69,13 +77,18 @@
         """Start the request unless its head is to be parsed again.
 
         Raises:
-            _RejectedError: The request is not for an origin server.
+            RejectedError: The request is not for an origin server; the parser
+                stops at its head.
         """
         if self.parser.get_method() == _CONNECT:
-            self._reject('a connection cannot become a tunnel')
+            raise self.rejected(
+                BAD_REQUEST, 'a connection cannot become a tunnel'
+            )
         # Applications get the target without its fragment or authority.
         if not self.url.startswith(b'/') or b'#' in self.url:
-            self._reject('a target begins with "/" and has no fragment')
+            raise self.rejected(
+                BAD_REQUEST, 'a target begins with "/" and has no fragment'
+            )
         if not self.parser.should_upgrade():
             self.scope['extensions'] = target_extension(self.url)
             super().on_headers_complete()
@@ -90,6 +103,44 @@
         """Start the next request; responses are sent in the order of requests."""
         self._unfinished.popleft()
         super().on_response_complete()
+        self._send_rejection()
+
+    def reject(self, status: bytes, message: str) -> None:
+        """Respond with a status and close the connection.
+
+        The response is sent after those of the requests before. Nothing happens
+        if a request was rejected already or the connection is closing.
+
+        Args:
+            status: Status code and reason phrase.
+            message: The reason, for the response body.
+        """
+        if self._rejection is not None or self.transport.is_closing():
+            return
+        self.record_rejection(message)
+        headers, body = self.rejection_body(message)
+        self._rejection = (
+            b'HTTP/1.1 %s\r\n%scontent-length: %d\r\n'
+            b'connection: close\r\n\r\n%s' % (status, headers, len(body), body)
+        )
+        self._send_rejection()
+
+    def rejected(self, status: bytes, message: str) -> RejectedError:
+        """Reject a request; return the error that stops the parser.
+
+        Args:
+            status: Status code and reason phrase.
+            message: The reason, for the response body.
+        """
+        self.reject(status, message)
+        return RejectedError(message)
+
+    def record_rejection(self, message: str) -> None:
+        """Record that a request is rejected; does nothing by default."""
+
+    def rejection_body(self, message: str) -> tuple[bytes, bytes]:
+        """Return the headers and body of a rejection; empty by default."""
+        return b'', b''
 
     def _parse(self, data: bytes) -> bytes:
         """Parse bytes and return those that are to be parsed next."""
@@ -102,13 +153,15 @@
             self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
             return head + data[head_end:]
         except httptools.HttpParserError:
-            if not self.transport.is_closing():
-                self.send_400_response('the request is not valid HTTP')
+            # A rejection from within the parser has been made already.
+            self.reject(BAD_REQUEST, 'the request is not valid HTTP')
         return b''
 
-    def _reject(self, reason: str) -> NoReturn:
-        self.send_400_response(reason)
-        raise _RejectedError(reason)
+    def _send_rejection(self) -> None:
+        is_next = self._rejection is not None and not self._unfinished
+        if is_next and not self.transport.is_closing():
+            self.transport.write(self._rejection or b'')
+            self.transport.close()
 
     def _head_without_upgrade(self) -> bytes:
         """Return the head that was parsed last without its ``Upgrade`` fields."""
--- a/tests/util/test_http_protocol.py
+++ b/tests/util/test_http_protocol.py
@@ -24,6 +24,7 @@
 PROTOCOLS = [RequestProtocol, LIMITED]
 # Reached only if an expected response never comes.
 _TIMEOUT_S = 10
+_FIRST = b'POST /first HTTP/1.1\r\ncontent-length: 4\r\n\r\nbody'
 _BODY = b'GET /hidden HTTP/1.1\r\nhost: h\r\n\r\n'
 
 
@@ -68,6 +69,16 @@
         yield stream
 
 
+async def read_to_end(stream: SocketStream) -> bytes:
+    """Return all bytes until the server closes the connection."""
+    received = bytearray()
+    with anyio.fail_after(_TIMEOUT_S):
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            while True:
+                received.extend(await stream.receive())
+    return bytes(received)
+
+
 def requests_of(protocol: Any, *segments: bytes, answers: int = 1) -> list[Any]:
     """Return what an application gets from a connection.
 
@@ -215,3 +226,70 @@
                 await is_told.wait()
 
     anyio.run(scenario)
+
+
+_REJECTED = [
+    (RequestProtocol, b'no request\r\n\r\n', b'400 '),
+    (RequestProtocol, b'GET /#f HTTP/1.1\r\n\r\n', b'400 '),
+    (LIMITED, b'no request\r\n\r\n', b'400 '),
+    (
+        LIMITED,
+        b'POST / HTTP/1.1\r\nx: %s\r\ncontent-length: 3\r\n\r\nbad'
+        % (_LIMITS.most_bytes * b'y'),
+        b'431 ',
+    ),
+]
+
+
+# Guards against a body that is added to the request before, as the head that it
+# belongs to is rejected.
+@pytest.mark.parametrize(('protocol', 'rejected', 'status'), _REJECTED)
+def test_a_rejected_request_does_not_change_the_one_before(
+    protocol: Any, rejected: bytes, status: bytes
+) -> None:
+    recording = RecordingApp()
+    may_read = anyio.Event()
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        await may_read.wait()
+        await recording(scope, receive, send)
+
+    async def scenario() -> None:
+        async with connected(app, protocol) as stream:
+            await stream.send(_FIRST + rejected)
+            await anyio.sleep(0.02)
+            await stream.send(b'GET /after HTTP/1.1\r\n\r\n')
+            await anyio.sleep(0.02)
+            may_read.set()
+            await read_to_end(stream)
+
+    anyio.run(scenario)
+    assert recording.received == [('POST', b'/first', b'body')]
+
+
+# Guards against a rejection that is written into the response before.
+@pytest.mark.parametrize(('protocol', 'rejected', 'status'), _REJECTED)
+def test_a_rejection_is_sent_after_the_response_before(
+    protocol: Any, rejected: bytes, status: bytes
+) -> None:
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        headers = [(b'content-length', b'8')]
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': headers}
+        )
+        await send(
+            {'type': 'http.response.body', 'body': b'half', 'more_body': True}
+        )
+        await anyio.sleep(0.05)
+        await send({'type': 'http.response.body', 'body': b'half'})
+
+    async def scenario() -> bytes:
+        async with connected(app, protocol) as stream:
+            await stream.send(_FIRST)
+            await anyio.sleep(0.02)
+            await stream.send(rejected)
+            return await read_to_end(stream)
+
+    response, rejection = anyio.run(scenario).split(b'halfhalf')
+    assert response.startswith(b'HTTP/1.1 200 ')
+    assert rejection.startswith(b'HTTP/1.1 ' + status)
