Ignore the fields after the body of a request

A field in the trailer of a chunked request was added to its headers: a key, an id or a deadline there counted if the whole message came in one segment, and was ignored otherwise (by reading; RFC 9110, 6.5.1, forbids it). A proper request with a length or a second key in its trailer was refused with 400.

Cause: the parser reports headers and trailer fields in the same way, and the web server adds both to the list that the application reads.

Fields are added while the head is read only, so that the segments of a message do not change its meaning.

Test: test_trailer_fields_are_not_added_to_the_headers; without the change "authorization" is among the headers.

--- a/src/acaciaramp/util/header_limits.py
+++ b/src/acaciaramp/util/header_limits.py
@@ -45,7 +45,6 @@
         super().__init__(**kwargs)
         self._header_limits = header_limits
         self._header_bytes = 0
-        self._is_reading_headers = True
         self._header_timer: asyncio.TimerHandle | None = None
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -66,7 +65,6 @@
 
     def on_message_begin(self) -> None:
         """Start the header timer, unless it is running already."""
-        self._is_reading_headers = True
         if self._header_timer is None:
             self.start_header_timer()
         super().on_message_begin()
@@ -81,7 +79,6 @@
         if self.parser.should_upgrade():
             super().on_headers_complete()
             return
-        self._is_reading_headers = False
         self._header_bytes = 0
         self._cancel_header_timer()
         size = sum(len(name) + len(text) for name, text in self.headers)
--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -52,6 +52,7 @@
             collections.deque()
         )
         self._rejection: bytes | None = None
+        self._is_reading_headers = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell every request of the connection that its caller has gone.
@@ -73,6 +74,19 @@
         while unparsed:
             unparsed = self._parse(unparsed)
 
+    def on_message_begin(self) -> None:
+        """Begin to read the head of a request."""
+        self._is_reading_headers = True
+        super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header to the request; fields after its body are ignored.
+
+        They may arrive before or after the request is routed.
+        """
+        if self._is_reading_headers:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Start the request unless its head is to be parsed again.
 
@@ -90,6 +104,7 @@
                 BAD_REQUEST, 'a target begins with "/" and has no fragment'
             )
         if not self.parser.should_upgrade():
+            self._is_reading_headers = False
             self.scope['extensions'] = target_extension(self.url)
             super().on_headers_complete()
             self._unfinished.append(self.cycle)
--- a/tests/util/test_http_protocol.py
+++ b/tests/util/test_http_protocol.py
@@ -293,3 +293,26 @@
     response, rejection = anyio.run(scenario).split(b'halfhalf')
     assert response.startswith(b'HTTP/1.1 200 ')
     assert rejection.startswith(b'HTTP/1.1 ' + status)
+
+
+# Guards against fields after the body that are taken for headers: they come
+# once the request has been routed, or not, as the segments have it.
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_trailer_fields_are_not_added_to_the_headers(protocol: Any) -> None:
+    names: list[list[bytes]] = []
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        await RecordingApp()(scope, receive, send)
+        names.append([name for name, _ in scope['headers']])
+
+    async def scenario() -> None:
+        async with connected(app, protocol) as stream:
+            await stream.send(
+                b'POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n'
+                b'1\r\nx\r\n0\r\nauthorization: Bearer k\r\n\r\n'
+            )
+            with anyio.fail_after(_TIMEOUT_S):
+                await stream.receive()
+
+    anyio.run(scenario)
+    assert names == [[b'transfer-encoding']]
