Keep turns for a margin after their expiry

Cause: the retention begins with the end of the response, but the expiry was set before the commit and by the clock of the entry. The ledger's time is the latest that any entry sent, so that one clock that is ahead shortened all retentions.

The ledger keeps a turn for 10 s after its expiry: the wait for the commit (3 s at most), a pause of the process and the difference of clocks.

--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -30,6 +30,11 @@
 # of OpenTurn does not reserve tokens for a turn that has ended. Longer than an
 # entry instance keeps sending a command.
 ENDED_RETENTION_MS = 60_000
+# How long turns are kept after their expiry. It is set by the clock of an entry
+# instance before the turn is committed, while the retention begins with the end
+# of the response: the wait for the commit, a pause of the process and the
+# difference of the clocks come in between.
+EXPIRY_MARGIN_MS = 10_000
 # Expired state is removed once in so many commands.
 SWEEP_INTERVAL_COMMANDS = 256
 _command_decoder = msgspec.msgpack.Decoder(LedgerCommand)
@@ -275,10 +280,11 @@
             for key, turn in self._turns.items()
             if turn.previous is not None
         }
+        turn_cutoff_ms = self._now_ms - EXPIRY_MARGIN_MS
         self._turns = {
             key: turn
             for key, turn in self._turns.items()
-            if turn.until_ms >= self._now_ms or key in continued
+            if turn.until_ms >= turn_cutoff_ms or key in continued
         }
         ended_cutoff_ms = self._now_ms - ENDED_RETENTION_MS
         self._ended = {
