Drop a request whose body is malformed

Since a rejection waits for the requests before it. A request whose own body turns out to be malformed (a chunk without a size, a length after chunks) was among them: it waited for the rest of its body until its time limit, and only then the 400 was sent.

The request is dropped at once, as it can never end: it learns that its caller has gone, so that nothing of it is run, and the 400 follows the responses before it.

Tests: four cases of test_a_request_with_a_malformed_body_is_rejected_at_once and two of test_a_rejection_is_not_sent_within_the_response_to_its_request fail without the change, by their time limit.

--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -138,6 +138,7 @@
             b'HTTP/1.1 %s\r\n%scontent-length: %d\r\n'
             b'connection: close\r\n\r\n%s' % (status, headers, len(body), body)
         )
+        self._drop_incomplete_request()
         self._send_rejection()
 
     def rejected(self, status: bytes, message: str) -> RejectedError:
@@ -172,6 +173,23 @@
             self.reject(BAD_REQUEST, 'the request is not valid HTTP')
         return b''
 
+    def _drop_incomplete_request(self) -> None:
+        """Drop the request whose body is rejected, which can never end.
+
+        If its response has begun, the connection is closed at once: a rejection
+        would be part of that response.
+        """
+        if not self._unfinished or not self._unfinished[-1].more_body:
+            return
+        cycle = self._unfinished.pop()
+        cycle.disconnected = True
+        cycle.message_event.set()
+        if cycle.response_started:
+            self.transport.close()
+        elif self.pipeline:
+            # The newest request is on the left; it waits for those before.
+            self.pipeline.popleft()
+
     def _send_rejection(self) -> None:
         is_next = self._rejection is not None and not self._unfinished
         if is_next and not self.transport.is_closing():
--- a/tests/util/test_http_protocol.py
+++ b/tests/util/test_http_protocol.py
@@ -47,6 +47,8 @@
         has_more = True
         while has_more:
             message = await receive()
+            if message['type'] == 'http.disconnect':
+                return
             body += message.get('body', b'')
             has_more = message.get('more_body', False)
         target = request_target(scope)
@@ -69,6 +71,13 @@
         yield stream
 
 
+async def until_disconnected(receive: Receive) -> None:
+    """Return when an application is told that its caller has gone."""
+    kind = ''
+    while kind != 'http.disconnect':
+        kind = (await receive())['type']
+
+
 async def read_to_end(stream: SocketStream) -> bytes:
     """Return all bytes until the server closes the connection."""
     received = bytearray()
@@ -212,9 +221,7 @@
 
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         has_started.set()
-        kind = ''
-        while kind != 'http.disconnect':
-            kind = (await receive())['type']
+        await until_disconnected(receive)
         is_told.set()
 
     async def scenario() -> None:
@@ -316,3 +323,53 @@
 
     anyio.run(scenario)
     assert names == [[b'transfer-encoding']]
+
+
+_CHUNK = (
+    b'POST /broken HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n'
+)
+_MALFORMED = b'no size\r\n'
+
+
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+@pytest.mark.parametrize('before', [b'', _FIRST])
+def test_a_request_with_a_malformed_body_is_rejected_at_once(
+    protocol: Any, before: bytes
+) -> None:
+    app = RecordingApp()
+
+    async def scenario() -> bytes:
+        async with connected(app, protocol) as stream:
+            await stream.send(before + _CHUNK)
+            await anyio.sleep(0.02)
+            await stream.send(_MALFORMED)
+            return await read_to_end(stream)
+
+    statuses = [
+        part[:3] for part in anyio.run(scenario).split(b'HTTP/1.1 ')[1:]
+    ]
+    assert statuses == ([b'200'] if before else []) + [b'400']
+    assert ('POST', b'/broken', b'x') not in app.received
+
+
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_a_rejection_is_not_sent_within_the_response_to_its_request(
+    protocol: Any,
+) -> None:
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': []}
+        )
+        await send(
+            {'type': 'http.response.body', 'body': b'half', 'more_body': True}
+        )
+        await until_disconnected(receive)
+
+    async def scenario() -> bytes:
+        async with connected(app, protocol) as stream:
+            await stream.send(_CHUNK)
+            await anyio.sleep(0.02)
+            await stream.send(_MALFORMED)
+            return await read_to_end(stream)
+
+    assert anyio.run(scenario).endswith(b'4\r\nhalf\r\n')
