--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -1,7 +1,7 @@
-"""HTTP connections of callers, without other protocols on them.
+"""HTTP connections of callers: each request as it was sent, responses in order.
 
-An upgrade to another protocol is ignored, as RFC 9110, section 7.8, allows: the
-request is read as if it had no ``Upgrade`` field.
+Connections speak no other protocol. An upgrade to one is ignored, as RFC 9110,
+section 7.8, allows: the request is read as if it had no ``Upgrade`` field.
 """
 
 from __future__ import annotations
@@ -23,12 +23,10 @@
 BAD_REQUEST = b'400 Bad Request'
 _UPGRADE = b'upgrade'
 _CONNECT = b'CONNECT'
-# Longer than the bytes that a caller has under way take to arrive.
-_LONGEST_LINGER_MS = 1_000
-
-
 # Extension of ASGI scopes with the target of the request.
 _TARGET = 'acaciaramp.target'
+# Longer than the bytes that a caller has under way take to arrive.
+_LONGEST_LINGER_MS = 1_000
 
 
 class RejectedError(Exception):
@@ -36,7 +34,7 @@
 
 
 class RequestProtocol(HttpToolsProtocol):
-    """Server connection that reads the body of every request.
+    """Server connection that passes on requests as they were sent.
 
     The parser ends a message that asks for an upgrade at its head and takes its
     body for the other protocol. It is replaced by one that gets the head again
