--- a/src/acaciaramp/util/header_limits.py
+++ b/src/acaciaramp/util/header_limits.py
@@ -77,6 +77,7 @@
                 must not be taken for that of the one before.
         """
         if self.parser.should_upgrade():
+            # The head is parsed again, and counted then.
             super().on_headers_complete()
             return
         self._header_bytes = 0
