Keep the load of endpoints on a board, and read reports of four figures

Cause: endpoints of two deployments report a fourth figure, how long work currently takes there; such a report counted as malformed, so that no entry knew any load. Change: the codec reads three or more figures into EndpointLoad. The selector keeps its load there; its cost is unchanged. The case '1,2,3,4' of test_malformed_load_is_none stated the fault; it is replaced by '1,,3,4' and by the cases of test_load_of_more_than_three_figures_is_read. Result: 313 tests of tests/scheduling, forwarding, platform and roles pass, the tests of the selector unchanged; with the earlier codec five cases of the new test fail.

--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -80,11 +80,14 @@
         running: Number of requests that it is executing.
         waiting: Number of requests in its queue.
         slots: Number of requests that it can execute at once.
+        duration_percent: How long work currently takes there, in percent of
+            the usual time; None if it does not say.
     """
 
     running: int
     waiting: int
     slots: int
+    duration_percent: int | None = None
 
 
 class ResponseHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -15,6 +15,8 @@
 
 from acaciaramp.coordination.messages import Endpoint
 from acaciaramp.ids import ServiceName
+from acaciaramp.metrics.client import Metrics
+from acaciaramp.scheduling.load_board import LoadBoard, LoadReport
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -45,20 +47,14 @@
 
 
 class _EndpointState(msgspec.Struct):
-    """State of one endpoint as seen by this instance.
+    """Failures of one endpoint as seen by this instance.
 
     Attributes:
-        in_flight: Requests of this instance at the endpoint.
-        foreign: Requests of other instances at the last load report.
-        reported_ms: Time of the last load report.
         failures: Number of consecutive failures.
         paused_until_ms: End of the backoff; until then the endpoint is used
             only if all others are backed off as well.
     """
 
-    in_flight: int = 0
-    foreign: int = 0
-    reported_ms: int = -_LOAD_MAX_AGE_MS
     failures: int = 0
     paused_until_ms: int = 0
 
@@ -103,7 +99,11 @@
 
 
 class EndpointSelector:
-    """Selects endpoints by a cost of load, locality and affinity."""
+    """Selects endpoints by a cost of load, locality and affinity.
+
+    Attributes:
+        board: Load of the endpoints.
+    """
 
     def __init__(
         self,
@@ -113,6 +113,7 @@
         clock: Clock,
         rng: random.Random,
         leaving_grace_ms: int = 0,
+        board: LoadBoard | None = None,
     ) -> None:
         """Create the selector without endpoints.
 
@@ -124,7 +125,9 @@
             rng: Chooses among endpoints of equal cost.
             leaving_grace_ms: How long a leaving endpoint may still get requests
                 that no other one can serve, milliseconds.
+            board: Load of the endpoints; None for a board of its own.
         """
+        self.board = LoadBoard(clock, Metrics()) if board is None else board
         self._leaving_grace_ms = leaving_grace_ms
         self._rng = rng
         self._zone = zone
@@ -162,9 +165,9 @@
         self._log_changes(by_service)
         self._by_service = by_service
         self._by_id = {endpoint.id: endpoint for endpoint in endpoints}
-        removed = self._states.keys() - self._by_id.keys()
-        for endpoint_id in removed:
-            if not self._states[endpoint_id].in_flight:
+        self.board.retain(self._by_id.keys())
+        for endpoint_id in self._states.keys() - self._by_id.keys():
+            if not self.board.load_of(endpoint_id).in_flight:
                 self._states.pop(endpoint_id)
 
     @property
@@ -233,7 +236,7 @@
         self, endpoint: Endpoint, query: EndpointQuery
     ) -> dict[str, Any]:
         """Return the inputs of a selection as log fields."""
-        state = self._states[endpoint.id]
+        state = self.board.load_of(endpoint.id)
         return {
             'endpoint': endpoint.id,
             'version': endpoint.version,
@@ -246,7 +249,7 @@
 
     def record_start(self, endpoint: Endpoint, affinity_key: str) -> None:
         """Record that a request is sent to an endpoint."""
-        self._states[endpoint.id].in_flight += 1
+        self.board.record_start(endpoint.id)
         if affinity_key:
             self._endpoint_by_affinity[affinity_key] = endpoint.id
             self._endpoint_by_affinity.move_to_end(affinity_key)
@@ -255,13 +258,20 @@
 
     def record_end(self, endpoint: Endpoint) -> None:
         """Record that a request at an endpoint has ended."""
-        self._states[endpoint.id].in_flight -= 1
+        self.board.record_end(endpoint.id)
 
     def record_load(self, endpoint: Endpoint, load: EndpointLoad) -> None:
         """Record the load that an endpoint reported in a response."""
-        state = self._states[endpoint.id]
-        state.foreign = max(0, load.running + load.waiting - state.in_flight)
-        state.reported_ms = self._clock.now_ms()
+        self.board.record(
+            LoadReport(
+                endpoint=endpoint.id,
+                running=load.running,
+                waiting=load.waiting,
+                slots=load.slots,
+                duration_percent=load.duration_percent,
+                observed_ms=self._clock.now_ms(),
+            )
+        )
 
     def record_leaving(self, endpoint: Endpoint) -> None:
         """Record that an endpoint has said in a response that it is leaving."""
@@ -354,7 +364,7 @@
     def _cost(
         self, endpoint: Endpoint, warm_id: str | None, now_ms: int
     ) -> float:
-        state = self._states[endpoint.id]
+        state = self.board.load_of(endpoint.id)
         age_ms = now_ms - state.reported_ms
         weight = max(0, 1 - age_ms / _LOAD_MAX_AGE_MS)
         busy = state.in_flight + weight * state.foreign
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -87,6 +87,7 @@
         TABLE: Routing table from an operator; it is rejected.
         HEADERS: Oversized, late or malformed headers of a request; the
             connection is closed.
+        LOAD: Load report with a figure outside its range; it is discarded.
     """
 
     FORGED_HEADER = 'forged_header'
@@ -95,6 +96,7 @@
     STRAY_BYTES = 'stray_bytes'
     TABLE = 'table'
     HEADERS = 'headers'
+    LOAD = 'load'
 
 
 class Timer(enum.Enum):
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -245,13 +245,17 @@
 
 
 def _endpoint_load(text: str) -> EndpointLoad | None:
-    """Parse a load ``RUNNING,WAITING,SLOTS``; None if it is malformed."""
+    """Parse a load ``RUNNING,WAITING,SLOTS,DURATION``; None if it is malformed.
+
+    The duration may be absent. It is left out if it is malformed, and figures
+    after it are ignored.
+    """
     parsed = [parse_count(item.strip()) for item in text.split(',')]
-    numbers = [number for number in parsed if number is not None]
-    if len(parsed) != 3 or len(numbers) != 3:
+    numbers = [number for number in parsed[:3] if number is not None]
+    if len(numbers) != 3:
         return None
     running, waiting, slots = numbers
-    return EndpointLoad(running, waiting, slots)
+    return EndpointLoad(running, waiting, slots, *parsed[3:4])
 
 
 def _request_limit(status: int, by_name: dict[bytes, bytes]) -> float | None:
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -33,6 +33,7 @@
 from acaciaramp.roles.endpoint_paths import EndpointPaths
 from acaciaramp.routing.checks import InvalidTableError
 from acaciaramp.routing.router import Router
+from acaciaramp.scheduling.load_board import LoadBoard
 from acaciaramp.settings.node import split_address
 from acaciaramp.util.logs import get_logger
 from acaciaramp.util.webserver import bind_socket, running_server
@@ -101,7 +102,8 @@
         self._quota = Quota(
             self._request_tokens, GRANT_LIFETIME_MS, context.clock
         )
-        self._selector = make_selector(cfg, context.clock, rng)
+        board = LoadBoard(context.clock, context.metrics)
+        self._selector = make_selector(cfg, context.clock, rng, board)
         self._limits = EndpointLimits(self._request_slot, context.clock)
         self._paths = EndpointPaths(context, self._selector, rng)
         self._connections = ConnectionPool(
@@ -374,7 +376,10 @@
 
 
 def make_selector(
-    cfg: NodeSettings, clock: Clock, rng: random.Random
+    cfg: NodeSettings,
+    clock: Clock,
+    rng: random.Random,
+    board: LoadBoard | None = None,
 ) -> EndpointSelector:
     """Create the endpoint selector for the location in the settings."""
     return EndpointSelector(
@@ -384,6 +389,7 @@
         clock,
         rng,
         leaving_grace_ms=int(_LEAVING_GRACE_SHARE * cfg.bounds.drain_ms),
+        board=board,
     )
 
 
