Refuse, queue and bound retries at the entry while capacity is short

Cause: an entry sends every request to some endpoint at once and repeats refused attempts every 40 ms for half of their time: 16 attempts a request in 340 ms with two endpoints that refuse (seen in the new test on the earlier code). Queues at endpoints stay full of work that is late already. Change: forwarding/overload.py joins level, queue and a retry budget for each service, with the load behind a small protocol that the selector serves for now. The gateway asks the level before the ledger where headers show a new program, and again with the ledger's word. The chooser waits for an endpoint with capacity and claims it; the forwarder checks the budget, which counts the last 5 s. Nothing is delayed or refused while under half of the slots are known to be taken. In force only where the new setting contracts names pressure. New: the code overloaded, the counter admission.level, the time left of a program from its header.

--- a/src/acaciaramp/errors.py
+++ b/src/acaciaramp/errors.py
@@ -39,6 +39,7 @@
     PROGRAM_LIMIT = 'program_limit'
     BUDGET_EXHAUSTED = 'budget_exhausted'
     RATE_LIMITED = 'rate_limited'
+    OVERLOADED = 'overloaded'
     QUEUE_FULL = 'queue_full'
     QUEUE_TIMEOUT = 'queue_timeout'
     NO_ENDPOINT = 'no_endpoint'
--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -11,8 +11,9 @@
 from acaciaramp.conversations.turns import OpenedTurn
 from acaciaramp.forwarding.messages import InboundRequest
 from acaciaramp.forwarding.selector import EndpointQuery
-from acaciaramp.ids import ServiceName, WorkspaceId
+from acaciaramp.ids import EndpointId, ServiceName, WorkspaceId
 from acaciaramp.routing.model import Route, RouteKind, Service
+from acaciaramp.scheduling.demand import Demand
 from acaciaramp.verdicts import Verdict
 
 _DIGEST_BYTES = 12
@@ -35,6 +36,8 @@
         endpoint: Endpoint of the last attempt; empty before the first.
         expected_origin: Probable origin of the stream that it begins; None if
             it begins none that may be resumed, or it is not known.
+        demand: Its rank while capacity is short; None without admission control.
+        claimed: Endpoint whose capacity it has claimed and not used yet.
     """
 
     inbound: InboundRequest
@@ -48,6 +51,8 @@
     is_sent: bool = False
     endpoint: str = ''
     expected_origin: StreamOrigin | None = None
+    demand: Demand | None = None
+    claimed: EndpointId | None = None
 
     @property
     def begins_stream(self) -> bool:
--- a/src/acaciaramp/forwarding/chooser.py
+++ b/src/acaciaramp/forwarding/chooser.py
@@ -20,6 +20,7 @@
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.endpoint_limits import EndpointLimits
+    from acaciaramp.forwarding.overload import OverloadControl
     from acaciaramp.forwarding.selector import EndpointSelector
 
     RecordOrigin = Callable[[Call, StreamOrigin], Awaitable[None]]
@@ -37,7 +38,11 @@
 
 
 class EndpointChooser:
-    """Chooses endpoints for the requests of one instance."""
+    """Chooses endpoints for the requests of one instance.
+
+    Attributes:
+        overload: Admission control; None where the deployment asks for none.
+    """
 
     def __init__(
         self,
@@ -45,6 +50,7 @@
         limits: EndpointLimits,
         clock: Clock,
         record_origin: RecordOrigin,
+        overload: OverloadControl | None = None,
     ) -> None:
         """Create the chooser.
 
@@ -54,7 +60,9 @@
             clock: Source of time.
             record_origin: Commits the origin of the stream that a request
                 begins; raises ``CallError``.
+            overload: Admission control; None without one.
         """
+        self.overload = overload
         self._selector = selector
         self._limits = limits
         self._clock = clock
@@ -88,6 +96,8 @@
     async def next_endpoint(self, call: Call, excluded: set[str]) -> Endpoint:
         """Return the endpoint for the next attempt of a request.
 
+        With admission control its capacity is claimed for the request.
+
         The origin of the stream that it begins is committed before: a caller
         whose connection is lost may resume it through another instance.
 
@@ -103,7 +113,11 @@
         endpoint = await self._wait_for_endpoint(call, excluded)
         origin = _origin(endpoint)
         if call.begins_stream and call.origin != origin:
-            await self._record_origin(call, origin)
+            try:
+                await self._record_origin(call, origin)
+            except BaseException:
+                self._release(call)
+                raise
         return endpoint
 
     async def _wait_for_endpoint(
@@ -146,9 +160,36 @@
                 call, limited, is_last_resort=not others and not excluded
             )
         if endpoint is None and others:
-            return others[0]
+            claimed = await self._claim_capacity(call, excluded)
+            return claimed or others[0]
         return endpoint
 
+    async def _claim_capacity(
+        self, call: Call, excluded: Collection[str]
+    ) -> Endpoint | None:
+        """Return an endpoint with capacity that was claimed for a request.
+
+        None without admission control, or if the request need not wait.
+
+        Raises:
+            CallError: No capacity comes in time.
+        """
+        if self.overload is None:
+            return None
+
+        def rank() -> list[Endpoint]:
+            ranked = self._selector.rank(call.endpoint_query, excluded)
+            return [
+                item for item in ranked if not self._limits.is_limited(item)
+            ]
+
+        return await self.overload.claim(call, rank)
+
+    def _release(self, call: Call) -> None:
+        if self.overload is not None:
+            self.overload.release(call)
+            self.overload.wake(call.service)
+
     async def _claim_slot(
         self, call: Call, limited: list[Endpoint], *, is_last_resort: bool
     ) -> Endpoint | None:
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -134,11 +134,16 @@
             **self._selector.explain(endpoint, call.endpoint_query),
         )
         self._selector.record_start(endpoint, call.affinity_key)
+        overload = self._chooser.overload
+        if overload is not None:
+            overload.release(call)
         call.endpoint = endpoint.id
         try:
             await self._send_on_connection(call, endpoint, relay)
         finally:
             self._selector.record_end(endpoint)
+            if overload is not None:
+                overload.wake(call.service)
 
     async def _send_on_connection(
         self, call: Call, endpoint: Endpoint, relay: Relay
@@ -151,9 +156,10 @@
             with anyio.CancelScope(shield=True):
                 await self._connections.discard(endpoint, conn)
             raise
-        self._metrics.record_duration(
-            Timer.ENDPOINT, self._clock.now_ms() - started_ms
-        )
+        took_ms = self._clock.now_ms() - started_ms
+        self._metrics.record_duration(Timer.ENDPOINT, took_ms)
+        if self._chooser.overload is not None:
+            self._chooser.overload.record_served(call, took_ms)
         if conn.has_stray_bytes:
             self._metrics.count(Counter.BAD_INPUT, BadInput.STRAY_BYTES)
         await self._connections.release(endpoint, conn)
@@ -226,6 +232,8 @@
         self._record_limit(endpoint, head)
         if head.load is not None:
             self._selector.record_load(endpoint, head.load)
+            if self._chooser.overload is not None:
+                self._chooser.overload.wake(call.service)
         if head.is_not_run:
             raise EndpointError(
                 Failure.REFUSED,
@@ -272,11 +280,12 @@
 
         Raises:
             CallError: The endpoint may have executed the request, and it must
-                not be executed again.
+                not be executed again; or it would add to an overload.
         """
-        if exc.verdict is Verdict.NOT_RUN or call.can_retry:
-            return
-        raise _unknown_outcome_error(exc) from None
+        if exc.verdict is not Verdict.NOT_RUN and not call.can_retry:
+            raise _unknown_outcome_error(exc) from None
+        if self._chooser.overload is not None:
+            self._chooser.overload.check_retry(call, exc)
 
 
 def _unknown_outcome_error(exc: EndpointError) -> CallError:
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -297,11 +297,16 @@
         self, call: Call, caller: Caller, tasks: TaskGroup
     ) -> None:
         self._check_quarantine(call)
+        overload = self._chooser.overload
+        if overload is not None:
+            overload.check_early(call)
         call.expected_origin = self._chooser.expected_origin(call)
         prefetched = self._admission.start_prefetch(call, tasks)
         try:
             call.turn = await self._turns.open(call)
             self._direct_resumption(call)
+            if overload is not None:
+                overload.check(call)
         except CallError:
             # A turn that may not begin uses no token of the rate.
             self._turns.settle_failed(call)
--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -25,6 +25,8 @@
         budget: Maximum number of tokens of all turns of the program.
         most_tokens: Maximum number of tokens that this turn generates.
         previous: Request id of the retained turn that it continues, if any.
+        program_left_ms: Time left until the program should be finished,
+            milliseconds; None if unknown.
     """
 
     program: ProgramId | None = None
@@ -32,6 +34,7 @@
     budget: int | None = None
     most_tokens: int = 0
     previous: str | None = None
+    program_left_ms: int | None = None
 
 
 class InboundRequest(msgspec.Struct, kw_only=True):
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -15,6 +15,7 @@
 
 from acaciaramp.coordination.messages import Endpoint
 from acaciaramp.ids import ServiceName
+from acaciaramp.scheduling.pressure import Pressure
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -221,6 +222,48 @@
         """Return whether a request may be sent to an endpoint."""
         return endpoint in self._candidates(query)
 
+    def pressure_of(self, service: ServiceName) -> Pressure:
+        """Return the load of a service's endpoints with a recent report.
+
+        Reports do not say here which requests of others run, so that those
+        beyond the slots count as waiting.
+        """
+        oldest_ms = self._clock.now_ms() - _LOAD_MAX_AGE_MS
+        listed = self._by_service.get(service, ())
+        known, running, waiting, slots = 0, 0, 0, 0
+        for item in listed:
+            state = self._states.get(item.id)
+            if state is None or state.reported_ms <= oldest_ms:
+                continue
+            busy = state.in_flight + state.foreign
+            known += 1
+            running += min(busy, item.slots)
+            waiting += max(0, busy - item.slots)
+            slots += item.slots
+        return Pressure(
+            running=running,
+            waiting=waiting,
+            slots=slots,
+            known_share=known / len(listed) if listed else 0,
+        )
+
+    def has_capacity(self, endpoint: Endpoint, claimed: int) -> bool:
+        """Return whether an endpoint can take one more request.
+
+        One request beyond the slots is sent, so that a slot that comes free is
+        taken at once. Of an endpoint with an old report only this instance's
+        own requests count.
+
+        Args:
+            endpoint: The endpoint.
+            claimed: Number of requests that are about to be sent to it.
+        """
+        state = self._states[endpoint.id]
+        busy = state.in_flight + claimed
+        if self._clock.now_ms() - state.reported_ms < _LOAD_MAX_AGE_MS:
+            busy += state.foreign
+        return not endpoint.slots or busy < endpoint.slots + 1
+
     def lacks_version(self, query: EndpointQuery) -> bool:
         """Return whether no listed endpoint of a service has the version.
 
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -38,6 +38,8 @@
         TUNNEL_OPENED: Tunnels through peers opened.
         TUNNEL_FAILED: Peers that opened no tunnel when they were asked.
         TUNNEL_REQUESTED: Tunnels that peers asked for, by ``TunnelOutcome``.
+        LEVEL_CHANGED: Changes of the admission level of a service, by
+            ``LevelMove``.
     """
 
     REFUSED = 'refused'
@@ -65,6 +67,7 @@
     TUNNEL_OPENED = 'tunnel.opened'
     TUNNEL_FAILED = 'tunnel.failed'
     TUNNEL_REQUESTED = 'tunnel.requested'
+    LEVEL_CHANGED = 'admission.level'
 
 
 class GrantOutcome(enum.Enum):
@@ -74,6 +77,13 @@
     NONE = 'none'
 
 
+class LevelMove(enum.Enum):
+    """Reasons of ``LEVEL_CHANGED``: whether more or fewer programs are admitted."""
+
+    LOWERED = 'lowered'
+    RAISED = 'raised'
+
+
 class BadInput(enum.Enum):
     """Reasons of ``Counter.BAD_INPUT``: kinds of invalid external input.
 
@@ -102,7 +112,7 @@
 
     Attributes:
         ADMISSION: Admission of a request, including the wait for a token.
-        QUEUE: Wait of a step for a free slot at an endpoint.
+        QUEUE: Wait of a step or request for a free slot at an endpoint.
         FIRST_TOKEN: Time from a request to an engine to its first token.
         ENDPOINT: Successful attempt at an endpoint.
         STEP: Whole step, including queueing and retries.
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -218,9 +218,16 @@
         budget=_int_or_none(by_name, b'x-token-budget'),
         most_tokens=_output_tokens(counts),
         previous=_text(by_name, b'x-previous-turn') or None,
+        program_left_ms=_time_left_ms(_text(by_name, b'x-program-deadline-ms')),
     )
 
 
+def _time_left_ms(text: str) -> int | None:
+    """Return a time that is left; 0 if a negative number says that it is over."""
+    left_ms = parse_count(text.removeprefix('-'))
+    return 0 if left_ms is not None and text.startswith('-') else left_ms
+
+
 def _resumed(by_name: dict[bytes, bytes]) -> str | None:
     """Return the id of the request that began the stream to be resumed.
 
--- a/src/acaciaramp/platform/statuses.py
+++ b/src/acaciaramp/platform/statuses.py
@@ -32,6 +32,7 @@
         ErrorCode.BODY_TIMEOUT: 408,
         ErrorCode.BODY_TOO_LARGE: 413,
         ErrorCode.RATE_LIMITED: 429,
+        ErrorCode.OVERLOADED: _UNAVAILABLE,
     }
 )
 
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -25,6 +25,7 @@
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
+from acaciaramp.forwarding.overload import OverloadControl
 from acaciaramp.forwarding.protocol import TrafficLimitProtocol
 from acaciaramp.forwarding.selector import EndpointSelector
 from acaciaramp.forwarding.turns import TurnLifecycle
@@ -102,6 +103,15 @@
             self._request_tokens, GRANT_LIFETIME_MS, context.clock
         )
         self._selector = make_selector(cfg, context.clock, rng)
+        self._overload: OverloadControl | None = None
+        if cfg.has_admission_control:
+            self._overload = OverloadControl(
+                self._selector,
+                self._workspace_priority,
+                context.clock,
+                context.metrics,
+                rng,
+            )
         self._limits = EndpointLimits(self._request_slot, context.clock)
         self._paths = EndpointPaths(context, self._selector, rng)
         self._connections = ConnectionPool(
@@ -122,6 +132,7 @@
             self._limits,
             context.clock,
             lifecycle.record_origin,
+            self._overload,
         )
         self._gateway = Gateway(
             codec=adapter.codec,
@@ -172,6 +183,8 @@
         context.tasks.start_soon(context.serve_peers, {})
         context.tasks.start_soon(self._follower.run)
         context.tasks.start_soon(self._run_ticks)
+        if self._overload is not None:
+            context.tasks.start_soon(self._overload.run)
         self._paths.start()
         sockets = [
             bind_socket(*split_address(address))
@@ -275,6 +288,11 @@
         )
         return reply.granted, reply.wait_ms
 
+    def _workspace_priority(self, workspace: WorkspaceId) -> int | None:
+        """Return the priority of a workspace; None if its routes' applies."""
+        found = self._router.workspaces.get(workspace)
+        return None if found is None else found.priority
+
     async def _request_slot(self, req: SlotRequest) -> SlotReply:
         """Ask the owner for a slot at a limited endpoint.
 
--- a/src/acaciaramp/scheduling/admission_level.py
+++ b/src/acaciaramp/scheduling/admission_level.py
@@ -43,6 +43,7 @@
 # endpoint that refuses everything is no overload.
 _REFUSED_SHARE = 0.3
 _LEAST_REFUSALS = 3
+_MAX_SIGNAL_STEPS = 5
 # Share of taken slots from which the level is not raised, and below which it is
 # raised faster.
 _BUSY_SHARE = 0.9
@@ -171,7 +172,8 @@
         if not steps:
             return None
         self._stepped_ms = self._clock.now_ms()
-        signals = self._signals
+        # What was seen long before a pause says nothing about the load now.
+        signals = _Signals() if steps > _MAX_SIGNAL_STEPS else self._signals
         self._signals = _Signals()
         decay = _MIX_DECAY**steps
         self._mix = {key: decay * count for key, count in self._mix.items()}
--- a/src/acaciaramp/settings/node.py
+++ b/src/acaciaramp/settings/node.py
@@ -101,6 +101,8 @@
         tolerated_faults: Number of instances with a disk that may be lost at
             the same time.
         bounds: Time limits that the deployment guarantees.
+        contracts: Optional parts that the deployment asks for; unknown ones are
+            ignored. A platform without them may write null.
     """
 
     instance: str
@@ -121,6 +123,12 @@
     first_start: bool = False
     tolerated_faults: int = 1
     bounds: Bounds = Bounds()
+    contracts: tuple[str, ...] | None = ()
+
+    @property
+    def has_admission_control(self) -> bool:
+        """Whether requests are ranked and refused while capacity is short."""
+        return 'pressure' in (self.contracts or ())
 
 
 def load_node_settings(path: str) -> NodeSettings:
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -136,6 +136,7 @@
         ledger: Ledger of the gateway.
         endpoints: The endpoints that ``harness_with`` has started.
         router: Router with one route.
+        chooser: Chooses the endpoints of requests.
         selector: Selector of the endpoints.
         quota: Rate limiter; without limits unless a test configures it.
         slots: Owner of the slots at limited endpoints.
@@ -184,6 +185,7 @@
         chooser = EndpointChooser(
             self.selector, self.limits, clock, lifecycle.record_origin
         )
+        self.chooser = chooser
         self.gateway = Gateway(
             codec=codec,
             router=self.router,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -67,6 +67,7 @@
             (b'x-token-budget', b'2288'),
             (b'x-token-counts', b'1840,286'),
             (b'x-previous-turn', b'a0'),
+            (b'x-program-deadline-ms', b'1250'),
         )
     )
     assert inbound.turn == TurnParams(
@@ -75,9 +76,41 @@
         budget=2_288,
         most_tokens=286,
         previous='a0',
+        program_left_ms=1_250,
     )
 
 
+@pytest.mark.parametrize(
+    ('text', 'left_ms'),
+    [(b'0', 0), (b'-40', 0), (b'soon', None), (b'', None), (b'-', None)],
+)
+def test_time_left_of_a_program_is_over_or_unknown(
+    text: bytes, left_ms: int | None
+) -> None:
+    """Guards against a late program that ranks as one without a deadline."""
+    inbound = CODEC.read_request(scope((b'x-program-deadline-ms', text)))
+    assert inbound.turn.program_left_ms == left_ms
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'expected'),
+    [(Verdict.NOT_RUN, 503), (Verdict.MAY_HAVE_RUN, 502)],
+)
+@pytest.mark.parametrize(
+    'code',
+    [ErrorCode.OVERLOADED, ErrorCode.QUEUE_FULL, ErrorCode.QUEUE_TIMEOUT],
+)
+def test_refusals_under_pressure_say_not_run_only_if_that_is_true(
+    code: ErrorCode, verdict: Verdict, expected: int
+) -> None:
+    refusal = Refusal(
+        code=code, message='m', verdict=verdict, retry_after_ms=250
+    )
+    status, headers, _ = CODEC.write_refusal(refusal)
+    assert status == expected
+    assert (b'retry-after', b'0.250') in headers
+
+
 @pytest.mark.parametrize(
     ('headers', 'resumed'),
     [
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -1,11 +1,12 @@
-"""RetryBudget bounds the number of retries."""
+"""RetryBudget and WindowedRetryBudget bound the number of retries."""
 
 from __future__ import annotations
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from acaciaramp.retries.budget import RetryBudget
+from acaciaramp.clock import ManualClock
+from acaciaramp.retries.budget import RetryBudget, WindowedRetryBudget
 
 
 @given(st.lists(st.booleans(), max_size=200))
@@ -27,3 +28,25 @@
     for _ in range(20):
         budget.on_request()
     assert [budget.try_retry() for _ in range(4)] == [True, True, True, False]
+
+
+def test_a_calm_time_allows_no_retries_after_its_window() -> None:
+    """Guards against an hour's worth of retries within one overload."""
+    clock = ManualClock()
+    budget = WindowedRetryBudget(0.1, 2, 5_000, clock)
+    for _ in range(1_000):
+        budget.on_request()
+    clock.advance(5_000)
+    assert [budget.try_retry() for _ in range(3)] == [True, True, False]
+
+
+def test_a_window_of_retries_is_bounded_and_then_free_again() -> None:
+    clock = ManualClock()
+    budget = WindowedRetryBudget(0.1, 1, 5_000, clock)
+    for _ in range(20):
+        budget.on_request()
+    assert [budget.try_retry() for _ in range(4)] == [True, True, True, False]
+    clock.advance(4_999)
+    assert not budget.try_retry()
+    clock.advance(1)
+    assert budget.try_retry()
--- a/tests/scheduling/test_admission_level.py
+++ b/tests/scheduling/test_admission_level.py
@@ -126,6 +126,13 @@
     assert change.load is Load.HIGH
 
 
+def test_waits_before_a_pause_do_not_lower_the_level_after_it() -> None:
+    steps = Steps()
+    steps.level.record_wait(0.25)
+    steps.clock.advance(3_000)
+    assert steps.update(NOTHING_KNOWN) is None
+
+
 def test_only_new_programs_are_refused_lower_priorities_first() -> None:
     steps = Steps()
     positions = [number / 100 for number in range(100)]
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -51,6 +51,23 @@
     assert cfg.tolerated_faults == 1
 
 
+@pytest.mark.parametrize(
+    ('changes', 'expected'),
+    [
+        ({}, False),
+        ({'contracts': None}, False),
+        ({'contracts': ['places']}, False),
+        ({'contracts': ['later', 'pressure']}, True),
+    ],
+)
+def test_admission_control_takes_effect_only_where_it_is_asked_for(
+    tmp_path: pathlib.Path, changes: dict[str, Any], *, expected: bool
+) -> None:
+    """Guards against a change of deployments that do not name it."""
+    cfg = load_node_settings(write_settings(tmp_path, **changes))
+    assert cfg.has_admission_control is expected
+
+
 def test_trailing_commas_are_allowed(tmp_path: pathlib.Path) -> None:
     path = tmp_path / 'node.jsonc'
     text = json.dumps(ENTRY).removesuffix('}')
