--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -228,6 +228,7 @@
                 spent=account.spent,
                 under_way=len(account.reserved),
             )
+        is_unused = not account.spent
         account.reserved[key.attempt] = requested.most_tokens
         return OpenReply(
             OpenOutcome.OPENED,
@@ -235,6 +236,7 @@
             account.spent,
             is_new,
             endpoint=account.endpoint,
+            is_unused=is_unused,
         )
 
     def _keep(self, key: TurnKey, until_ms: int) -> None:
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -159,6 +159,9 @@
         endpoint: Endpoint that ran the program's last turn, whose cache may
             hold the beginning of the prompt; empty if unknown.
         origin: Origin of the stream that the turn resumes, if it resumes one.
+        is_unused: Whether no turn of its program has used or reserved tokens;
+            earlier ones may have been refused. A leader of an earlier build
+            never says so.
     """
 
     outcome: OpenOutcome
@@ -168,6 +171,7 @@
     under_way: int = 0
     endpoint: str = ''
     origin: StreamOrigin | None = None
+    is_unused: bool = False
 
 
 class CloseReply(msgspec.Struct, frozen=True, tag=True):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -121,6 +121,7 @@
         endpoint: Endpoint that ran the program's last turn; empty if unknown.
         origin: Origin of the stream, of the resumed one if it resumes one; None
             if none is recorded.
+        is_unused: Whether no turn of its program has used or reserved tokens.
     """
 
     def __init__(
@@ -131,11 +132,13 @@
         is_new: bool,
         endpoint: str = '',
         origin: StreamOrigin | None = None,
+        is_unused: bool = False,
     ) -> None:
         """Create the turn from the reply of the ledger."""
         self.plan = plan
         self.chain = chain
         self.is_new = is_new
+        self.is_unused = is_unused
         self.endpoint = endpoint
         self.origin = origin
         self._origins = 0 if origin is None else 1
@@ -227,6 +230,7 @@
             is_new=reply.is_new or not plan.belongs_to_program,
             endpoint=reply.endpoint,
             origin=plan.origin if plan.resumes is None else reply.origin,
+            is_unused=reply.is_unused,
         )
 
     async def record_origin(
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -26,6 +26,7 @@
     from acaciaramp.clock import Clock
     from acaciaramp.forwarding.messages import EndpointLoad
     from acaciaramp.ids import AvailabilityZone, EndpointId
+    from acaciaramp.scheduling.pressure import Pressure
 
 logger = get_logger('placement')
 
@@ -224,6 +225,27 @@
         """Return whether a request may be sent to an endpoint."""
         return endpoint in self._candidates(query)
 
+    def pressure_of(self, service: ServiceName) -> Pressure:
+        """Return the load of a service's endpoints, as far as it is known."""
+        listed = self._by_service.get(service, ())
+        return self.board.pressure([item.id for item in listed])
+
+    def has_capacity(self, endpoint: Endpoint, claimed: int) -> bool:
+        """Return whether an endpoint can take one more request.
+
+        One request beyond the slots is sent, so that a slot that comes free is
+        taken at once. Of an endpoint with an old report only this instance's
+        own requests count.
+
+        Args:
+            endpoint: The endpoint.
+            claimed: Number of requests that are about to be sent to it.
+        """
+        state = self.board.load_of(endpoint.id)
+        is_known = state.is_known(self._clock.now_ms())
+        busy = state.busy if is_known else state.in_flight
+        return not endpoint.slots or busy + claimed <= endpoint.slots
+
     def lacks_version(self, query: EndpointQuery) -> bool:
         """Return whether no listed endpoint of a service has the version.
 
--- a/tests/conversations/test_ledger.py
+++ b/tests/conversations/test_ledger.py
@@ -95,6 +95,20 @@
     assert not open_turn(ledger, 'b').is_new
 
 
+def test_a_program_whose_turns_were_refused_is_still_unused() -> None:
+    """Guards against refused programs that count as running when they return."""
+    ledger = Ledger()
+    assert open_turn(ledger, 'a').is_unused
+    assert not open_turn(ledger, 'b').is_unused
+    close_turn(ledger, 'a')
+    close_turn(ledger, 'b')
+    returned = open_turn(ledger, 'c')
+    assert returned.is_unused
+    assert not returned.is_new
+    close_turn(ledger, 'c', tokens=1)
+    assert not open_turn(ledger, 'd').is_unused
+
+
 @given(
     st.lists(
         st.tuples(st.integers(0, 9), st.integers(1, 60), st.integers(0, 60)),
