Test the memory of processes under uncontrolled callers

Cause: nothing bounds what a process holds for its callers: bodies that stop short of their end, chunks of one byte, bodies over the limit, pipelined requests and incomplete headers.

Change: tests that start a control and a storage instance, entries and "acaciaramp serve" on loopback, keep a small set of callers open, and check that the process lives, that its memory and open descriptors stay under a bound and that one ordinary request is answered. They check no times. scripts/test.sh runs them in a part of their own after all others.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -2,6 +2,7 @@
 
 ``scripts/test.sh`` runs the parts in parallel: ``unit`` for pytest, and
 ``INDEX/COUNT`` for a share of the scenarios, ``0/4`` being the first of four.
+After them it runs ``memory``, the tests that measure the memory of processes.
 ``report`` reads the result files of the parts and fails if a scenario ran in
 no part.
 
@@ -25,6 +26,9 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 TEST_FIELD = 'test: '
 UNIT = 'unit'
+MEMORY = 'memory'
+TESTS = ROOT / 'tests'
+MEMORY_TESTS = TESTS / 'memory'
 REPORT = 'report'
 # Environment variable that selects the scenarios; see features/environment.py.
 PART_VARIABLE = 'ACACIARAMP_TEST_PART'
@@ -95,7 +99,9 @@
     results = ResultCollector()
     sys.path.insert(0, str(ROOT))
     if part == UNIT:
-        pytest.main([str(ROOT / 'tests')], plugins=[results])
+        pytest.main([str(TESTS), f'--ignore={MEMORY_TESTS}'], plugins=[results])
+    elif part == MEMORY:
+        pytest.main([str(MEMORY_TESTS)], plugins=[results])
     else:
         os.environ[PART_VARIABLE] = part
         runner = Runner(Configuration(command_args=['--format=progress3']))
