--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -40,6 +40,8 @@
         TUNNEL_REQUESTED: Tunnels that peers asked for, by ``TunnelOutcome``.
         LEVEL_CHANGED: Changes of the admission level of a service, by
             ``LevelMove``.
+        CALLER_CLOSED: Connections of callers that were closed, or refused a
+            request, to bound memory and descriptors, by ``CloseReason``.
     """
 
     REFUSED = 'refused'
@@ -68,6 +70,7 @@
     TUNNEL_FAILED = 'tunnel.failed'
     TUNNEL_REQUESTED = 'tunnel.requested'
     LEVEL_CHANGED = 'admission.level'
+    CALLER_CLOSED = 'caller.closed'
 
 
 class GrantOutcome(enum.Enum):
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -68,6 +68,16 @@
     assert cfg.has_admission_control is expected
 
 
+def test_memory_and_descriptors_are_optional(tmp_path: pathlib.Path) -> None:
+    cfg = load_node_settings(write_settings(tmp_path))
+    assert (cfg.memory_mb, cfg.max_descriptors) == (None, None)
+    path = write_settings(tmp_path, memory_mb=136, max_descriptors=1_535)
+    cfg = load_node_settings(path)
+    assert (cfg.memory_mb, cfg.max_descriptors) == (136, 1_535)
+    with pytest.raises(NodeSettingsError, match='memory_mb'):
+        load_node_settings(write_settings(tmp_path, memory_mb=0))
+
+
 def test_trailing_commas_are_allowed(tmp_path: pathlib.Path) -> None:
     path = tmp_path / 'node.jsonc'
     text = json.dumps(ENTRY).removesuffix('}')
