Go on after a full disk and hand over leadership

Cause: a replica whose disk refused a write made its process end once the disk took writes again. A leader waited for the election timeout of the others. A command that the disk refused was answered as not run although a failed write may be on the disk. A later term found while probing spares raised OSError out of the membership task and ended the process.

Change: Group.run asks the most up-to-date voter to take over, waits until the disk takes writes and loads the replica again from what is stored.

A replica that was stopped applies nothing more. A command that the disk refused counts as one that may have run.

--- a/src/acaciaramp/replication/group.py
+++ b/src/acaciaramp/replication/group.py
@@ -77,28 +77,23 @@
         """
         self._clock = clock
         self._store = store
+        self._me = me
+        self._state_machine = state_machine
+        self._send = send
+        self._timing = timing
         self._tolerated_disk_losses = tolerated_disk_losses
         self._eligible = eligible
         self._retiring = retiring
         self._target_voters = 2 * tolerated_disk_losses + 1
         self._previous_commit: int | None = None
-        self._failure: Exception | None = None
+        self._failure: BaseException | None = None
         self._failed = anyio.Event()
-        self.replica = Replica(
-            me=me,
-            initial_members=Members(()),
-            store=store,
-            state_machine=state_machine,
-            send=send,
-            clock=clock,
-            rng=random.Random(),
-            timing=timing,
-        )
+        self.replica = self._load_replica()
 
     @property
     def me(self) -> Member:
         """The replica on this instance."""
-        return self.replica.me
+        return self._me
 
     @property
     def is_serving(self) -> bool:
@@ -114,34 +109,31 @@
     async def run(self) -> None:
         """Run the replica until cancelled.
 
-        Raises:
-            OSError: The disk has failed and accepts writes again, so that the
-                process can restart from its stored state.
+        If the disk fails, another voter is asked to lead, and the replica is
+        loaded again from what is stored once the disk takes writes.
         """
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._cancel_on_failure, tasks.cancel_scope)
-                await self.replica.run()
-        except* OSError as excs:
-            self._record_disk_failure(excs)
-        while not self._store.is_writable():
+        while True:
+            await self._run_until_failure()
+            await self.replica.fail_over()
             await self._clock.sleep_ms(_DISK_RETRY_MS)
-        raise OSError('the disk failed') from self._failure
+            while not self._is_reopened():
+                await self._clock.sleep_ms(_DISK_RETRY_MS)
 
     async def propose(self, payload: bytes) -> object:
         """Propose a command and return its outcome once it is committed.
 
         Raises:
-            NotLeaderError: Nothing was proposed, or the local disk failed.
+            NotLeaderError: Nothing was proposed.
             LeadershipLostError: The command may or may not be committed later.
         """
+        replica = self.replica
         if not self.is_serving:
             raise NotLeaderError(self._other_leader())
         try:
-            return await self.replica.propose(payload)
+            return await replica.propose(payload)
         except OSError as exc:
-            self._record_disk_failure(exc)
-            raise NotLeaderError(None) from None
+            self._record_disk_failure(replica, exc)
+            raise LeadershipLostError('the disk failed') from None
 
     async def propose_for_caller(self, payload: bytes) -> object:
         """Propose a command as ``propose`` does, with errors for callers.
@@ -172,30 +164,82 @@
             if not self.replica.is_ready:
                 self._previous_commit = None
                 continue
-            change = await self._next_change()
-            self._previous_commit = self.replica.commit
-            if change is not None:
-                await self._change_members(change)
+            replica = self.replica
+            try:
+                await self._maintain_members(replica)
+            except (NotLeaderError, LeadershipLostError) as exc:
+                logger.info('The membership was not changed.', reason=exc)
+            except OSError as exc:
+                self._record_disk_failure(replica, exc)
 
     async def handle(self, req: msgs.Request) -> msgs.Reply:
         """Handle a request of another replica.
 
         Raises:
-            OSError: The disk failed; ``run`` ends.
+            OSError: The disk failed.
         """
         if self._failure is not None:
             raise OSError('the disk failed') from self._failure
+        replica = self.replica
         try:
-            return await self.replica.handle(req)
+            return await replica.handle(req)
         except OSError as exc:
-            self._record_disk_failure(exc)
+            self._record_disk_failure(replica, exc)
             raise
 
-    def _record_disk_failure(self, exc: Exception) -> None:
-        """Stop the replica: its memory may be ahead of the disk."""
-        if self._failure is None:
+    def _load_replica(self) -> Replica:
+        return Replica(
+            me=self._me,
+            initial_members=Members(()),
+            store=self._store,
+            state_machine=self._state_machine,
+            send=self._send,
+            clock=self._clock,
+            rng=random.Random(),
+            timing=self._timing,
+        )
+
+    async def _run_until_failure(self) -> None:
+        replica = self.replica
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._cancel_on_failure, tasks.cancel_scope)
+                await replica.run()
+        except* OSError as excs:
+            self._record_disk_failure(replica, _first_leaf(excs))
+
+    def _is_reopened(self) -> bool:
+        """Load the replica again; return whether the disk allows it."""
+        if not self._store.is_writable():
+            return False
+        try:
+            self._store = self._store.reopen()
+        except OSError as exc:
+            logger.warning('The disk failed again.', reason=exc)
+            return False
+        self._failure = None
+        self._failed = anyio.Event()
+        self._previous_commit = None
+        self._state_machine.restore(b'')
+        self.replica = self._load_replica()
+        logger.info(
+            'The disk takes writes again; the replica follows again.',
+            member=self.me.instance,
+            last_index=self.replica.log.last_index,
+            term=self.replica.term,
+        )
+        return True
+
+    def _record_disk_failure(
+        self, replica: Replica, exc: BaseException
+    ) -> None:
+        """Stop a replica: its memory may be ahead of the disk.
+
+        Requests to a replica that was stopped before may fail late.
+        """
+        if replica is self.replica and self._failure is None:
             logger.error(
-                'The disk failed; the replica stops until a restart.',
+                'The disk failed; the replica stops until it takes writes again.',
                 error=exc,
                 member=self.me.instance,
             )
@@ -206,9 +250,15 @@
         await self._failed.wait()
         scope.cancel()
 
-    async def _next_change(self) -> Members | None:
+    async def _maintain_members(self, replica: Replica) -> None:
+        """Change the membership if a change is due."""
+        change = await self._next_change(replica)
+        self._previous_commit = replica.commit
+        if change is not None:
+            await self._change_members(replica, change)
+
+    async def _next_change(self, replica: Replica) -> Members | None:
         """Return the membership to change to, or None if no change is due."""
-        replica = self.replica
         # Under load a learner on a slow link never reaches the current commit
         # index; it has caught up once it has reached that of a period ago.
         commit = self._previous_commit
@@ -220,31 +270,26 @@
             me=self.me,
             commit=commit,
             failed_since_ms=self._clock.now_ms() - _FAILED_AFTER_MS,
-            spares=await self._probe_spares(),
+            spares=await self._probe_spares(replica),
             target_voters=self._target_voters,
             retiring=self._retiring(),
         )
 
-    async def _change_members(self, members: Members) -> None:
+    async def _change_members(self, replica: Replica, members: Members) -> None:
         logger.info(
             'Proposing a membership change.',
             voters=[item.instance for item in members.voters],
             learners=[item.instance for item in members.learners],
-            term=self.replica.term,
+            term=replica.term,
         )
-        try:
-            await self.replica.change_members(members)
-        except (NotLeaderError, LeadershipLostError) as exc:
-            logger.info('The membership was not changed.', reason=exc)
-        except OSError as exc:
-            self._record_disk_failure(exc)
+        await replica.change_members(members)
 
-    async def _probe_spares(self) -> list[Member]:
+    async def _probe_spares(self, replica: Replica) -> list[Member]:
         """Return the replicas that reply and could become members."""
-        members = self.replica.members.instances
+        members = replica.members.instances
         retiring = self._retiring()
         probed = [
-            await self.replica.probe_member(instance)
+            await replica.probe_member(instance)
             for instance in self._eligible()
             if instance not in members and instance not in retiring
         ]
@@ -253,3 +298,10 @@
     def _other_leader(self) -> InstanceId | None:
         leader = self.replica.leader
         return None if leader == self.me.instance else leader
+
+
+def _first_leaf(excs: BaseException) -> BaseException:
+    """Return the first exception in nested groups; a group hides its text."""
+    while isinstance(excs, BaseExceptionGroup):
+        excs = excs.exceptions[0]
+    return excs
--- a/src/acaciaramp/replication/leader.py
+++ b/src/acaciaramp/replication/leader.py
@@ -37,6 +37,7 @@
         progress: Replication progress of the other replicas.
         is_transferring: Whether a leadership transfer is under way, during
             which nothing is proposed.
+        term: The last term in which this replica led; -1 if there is none.
     """
 
     def __init__(self, state: ReplicaState, request: Send) -> None:
@@ -48,6 +49,7 @@
         """
         self.progress = Progress(state.me)
         self.is_transferring = False
+        self.term = -1
         self._state = state
         self._request = request
         self._first_own_index = 0
@@ -75,6 +77,7 @@
         """
         state = self._state
         term = state.term
+        self.term = term
         logger.info(
             'Leadership was won; replicating to the other members.',
             instance=state.me.instance,
@@ -105,6 +108,7 @@
         Raises:
             NotLeaderError: Nothing was proposed.
             LeadershipLostError: The entry may or may not be committed later.
+            OSError: The disk failed; the entry may or may not be on it.
         """
         state = self._state
         is_leader = state.role is Role.LEADER and not self.is_transferring
@@ -112,8 +116,8 @@
             raise NotLeaderError(state.leader)
         proposal = Proposal(state.term, state.clock.now_ms())
         index = state.log.last_index + 1
-        state.pending[index] = proposal
         self._append(msgs.Entry(state.term, kind, payload))
+        state.pending[index] = proposal
         outcome = await proposal.wait()
         if state.timing.full_wait_ms:
             await self._wait_for_full_replication(index)
@@ -130,8 +134,9 @@
 
     def _append(self, entry: msgs.Entry) -> None:
         state = self._state
+        # What the disk refuses must not be replicated.
+        state.store.append(state.log.last_index + 1, [entry])
         state.log.append([entry])
-        state.store.append(state.log.last_index, [entry])
         self._start_replication()
         self._appended.set()
         state.notify_waiters()
--- a/src/acaciaramp/replication/replica.py
+++ b/src/acaciaramp/replication/replica.py
@@ -246,6 +246,32 @@
             )
             self._leader.is_transferring = False
 
+    async def fail_over(self) -> None:
+        """Apply nothing more; ask another voter to lead if this replica led.
+
+        To be called once ``run`` has ended, as the disk failed. The voters are
+        asked one after another, the most up-to-date one first, until one
+        replies. One that knows a later term ignores the request.
+        """
+        self._state.stop()
+        if self._leader.term != self.term:
+            return
+        others = [voter for voter in self.members.voters if voter != self.me]
+        others.sort(key=self.progress.match_index_of, reverse=True)
+        for voter in others:
+            try:
+                await self._request(
+                    voter.instance, msgs.HandoverRequest(self.term)
+                )
+            except PeerError:
+                continue
+            logger.info(
+                'Asked another voter to take over leadership.',
+                asked=voter.instance,
+                term=self.term,
+            )
+            return
+
     async def probe_member(self, instance: InstanceId) -> Member | None:
         """Return the replica on an instance that is not a member.
 
--- a/src/acaciaramp/replication/state.py
+++ b/src/acaciaramp/replication/state.py
@@ -160,6 +160,7 @@
         self.leader_scope: anyio.CancelScope | None = None
         self._state_machine = state_machine
         self._changed = anyio.Event()
+        self._is_stopped = False
         if snapshot.state:
             state_machine.restore(snapshot.state)
 
@@ -215,8 +216,17 @@
         self.leader_contact_ms = self.clock.now_ms()
         self.election_timer_ms = self.leader_contact_ms
 
+    def stop(self) -> None:
+        """Apply nothing more: the state machine gets another replica."""
+        self._is_stopped = True
+
     def apply_committed(self, commit: int) -> None:
-        """Commit and apply entries up to ``commit``; compact the log if due."""
+        """Commit and apply entries up to ``commit``; compact the log if due.
+
+        Raises:
+            OSError: The replica was stopped, or the log could not be compacted.
+        """
+        self._require_running()
         while self.commit < min(commit, self.log.last_index):
             self.commit += 1
             self._apply_entry(self.log.entry(self.commit))
@@ -226,7 +236,12 @@
         self.notify_waiters()
 
     def install_snapshot(self, snapshot: msgs.Snapshot) -> None:
-        """Replace state machine and log by a snapshot and store it."""
+        """Replace state machine and log by a snapshot and store it.
+
+        Raises:
+            OSError: The replica was stopped, or the disk failed.
+        """
+        self._require_running()
         self._state_machine.restore(snapshot.state)
         self.log.install_snapshot(snapshot)
         self.commit = snapshot.index
@@ -247,6 +262,10 @@
         """
         await self._changed.wait()
 
+    def _require_running(self) -> None:
+        if self._is_stopped:
+            raise OSError('the replica was stopped')
+
     def _apply_entry(self, entry: msgs.Entry) -> None:
         outcome: object = None
         if entry.kind is msgs.EntryKind.COMMAND:
--- a/src/acaciaramp/replication/store.py
+++ b/src/acaciaramp/replication/store.py
@@ -76,6 +76,17 @@
         """Return whether a test write to the disk succeeds."""
         ...
 
+    def reopen(self) -> Store:
+        """Return the store as a new process would open it after a failure.
+
+        This store takes no more writes. All that the new one has loaded is
+        durable.
+
+        Raises:
+            OSError: The disk has failed again.
+        """
+        ...
+
 
 class NullStore:
     """Discards all writes.
@@ -103,3 +114,7 @@
     def is_writable(self) -> bool:
         """Return true."""
         return True
+
+    def reopen(self) -> NullStore:
+        """Return an empty store."""
+        return NullStore()
--- a/src/acaciaramp/storage/store.py
+++ b/src/acaciaramp/storage/store.py
@@ -10,7 +10,7 @@
 from acaciaramp.replication.messages import Entry, Snapshot
 from acaciaramp.replication.store import StoredState, Vote
 from acaciaramp.storage.files import read_file, replace_file, sync_folder
-from acaciaramp.storage.journal import Journal, read_journal
+from acaciaramp.storage.journal import CorruptionError, Journal, read_journal
 
 if TYPE_CHECKING:
     import pathlib
@@ -69,6 +69,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         sync_folder(folder.parent)
         self.folder = folder
+        self._is_closed = False
         self.incarnation = self._load_incarnation()
         self._vote = Vote()
         self._stored = self._recover()
@@ -97,20 +98,12 @@
             entries: The entries after it.
 
         Raises:
-            OSError: The disk is full or has failed.
+            OSError: The disk is full or has failed, or the store is closed.
         """
+        if self._is_closed:
+            raise OSError('the store is closed')
         replace_file(self._snapshot_path, _encode(snapshot))
-        new_path = self._journal_path.with_suffix('.new')
-        new_path.unlink(missing_ok=True)
-        journal = Journal(new_path)
-        try:
-            journal.append(_encode(VoteRecord(self._vote)))
-            journal.append(_encode(EntriesRecord(snapshot.index + 1, entries)))
-            journal.sync_blocking()
-        except OSError:
-            journal.close()
-            raise
-        self._replace_journal(journal, new_path)
+        self._start_journal(snapshot.index + 1, entries)
 
     async def sync(self) -> None:
         """Return once all previous writes are durable.
@@ -128,6 +121,44 @@
             return False
         return True
 
+    def reopen(self) -> DiskStore:
+        """Return the store as a new process would open it after a failure.
+
+        The journal is written anew: after a failed sync the system may count
+        pages as clean that never reached the disk.
+
+        Raises:
+            OSError: The disk has failed again.
+            CorruptionError: The folder was replaced, or synced data is damaged.
+        """
+        self.close()
+        store = type(self)(self.folder)
+        if store.incarnation != self.incarnation:
+            raise CorruptionError(f'{self.folder}: the folder was replaced')
+        stored = store.load()
+        snapshot_index = stored.snapshot.index if stored.snapshot else 0
+        store._start_journal(snapshot_index + 1, stored.entries)
+        return store
+
+    def close(self) -> None:
+        """Take no more writes; close the journal."""
+        self._is_closed = True
+        self._journal.close()
+
+    def _start_journal(self, first: int, entries: list[Entry]) -> None:
+        """Replace the journal by one with the vote and the given entries."""
+        new_path = self._journal_path.with_suffix('.new')
+        new_path.unlink(missing_ok=True)
+        journal = Journal(new_path)
+        try:
+            journal.append(_encode(VoteRecord(self._vote)))
+            journal.append(_encode(EntriesRecord(first, entries)))
+            journal.sync_blocking()
+        except OSError:
+            journal.close()
+            raise
+        self._replace_journal(journal, new_path)
+
     def _replace_journal(self, journal: Journal, path: pathlib.Path) -> None:
         """Continue in a new journal that holds what the old one is needed for.
 
--- a/tests/replication/fuzz.py
+++ b/tests/replication/fuzz.py
@@ -98,6 +98,10 @@
         """Return true; the disk accepts all writes."""
         return True
 
+    def reopen(self) -> FakeStore:
+        """Return the store; its disk does not fail."""
+        return self
+
 
 def _copy(stored: StoredState) -> StoredState:
     return StoredState(stored.vote, stored.snapshot, list(stored.entries))
--- /dev/null
+++ b/tests/replication/test_disk_failure.py
@@ -0,0 +1,303 @@
+"""A group whose disks refuse writes for a while."""
+
+from __future__ import annotations
+
+import functools
+import pathlib
+import tempfile
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+import pytest
+
+from acaciaramp.ids import InstanceId
+from acaciaramp.replication.errors import LeadershipLostError, NotLeaderError
+from acaciaramp.replication.messages import (
+    AppendRequest,
+    Entry,
+    EntryKind,
+    VoteRequest,
+)
+from acaciaramp.storage.store import DiskStore
+from tests.replication.fuzz import Recorder
+from tests.replication.test_group import (
+    TIMING,
+    Cluster,
+    has_only_voters,
+    wait_until,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from anyio.abc import TaskGroup
+
+    from acaciaramp.replication.group import Group
+    from acaciaramp.replication.messages import Snapshot
+    from acaciaramp.replication.store import Vote
+
+# An election without a handover takes longer than the tests wait.
+SLOW_ELECTIONS = msgspec.structs.replace(TIMING, election_ms=4_000)
+TIMEOUT_S = 10
+
+
+class Disk:
+    """Decides whether a disk takes writes.
+
+    Attributes:
+        is_full: Whether each write is refused.
+        tears_writes: Whether a refused write leaves a part of its record.
+    """
+
+    def __init__(self) -> None:
+        """Create a disk with space."""
+        self.is_full = False
+        self.tears_writes = False
+
+
+class RefusingStore(DiskStore):
+    """A store on a disk that may refuse writes."""
+
+    def __init__(self, folder: pathlib.Path, disk: Disk) -> None:
+        """Open the store."""
+        self.disk = disk
+        super().__init__(folder)
+
+    def reopen(self) -> RefusingStore:
+        """Open the store again."""
+        self._require_space()
+        self.close()
+        return RefusingStore(self.folder, self.disk)
+
+    def save_vote(self, vote: Vote) -> None:
+        """Write a vote if there is space."""
+        self._require_space()
+        super().save_vote(vote)
+
+    def append(self, first: int, entries: list[Entry]) -> None:
+        """Write entries if there is space."""
+        if self.disk.is_full and self.disk.tears_writes:
+            with (self.folder / 'journal').open('ab') as journal:
+                journal.write(b'ACRJ torn')
+        self._require_space()
+        super().append(first, entries)
+
+    def save_snapshot(self, snapshot: Snapshot, entries: list[Entry]) -> None:
+        """Write a snapshot if there is space."""
+        self._require_space()
+        super().save_snapshot(snapshot, entries)
+
+    async def sync(self) -> None:
+        """Sync if the disk takes writes."""
+        self._require_space()
+        await super().sync()
+
+    def is_writable(self) -> bool:
+        """Return whether the disk takes writes."""
+        return not self.disk.is_full and super().is_writable()
+
+    def _require_space(self) -> None:
+        if self.disk.is_full:
+            raise OSError('no space left on device')
+
+
+class DiskCluster(Cluster):
+    """Three groups whose state is on disks.
+
+    Attributes:
+        disks: The disks by instance.
+        recorders: What each state machine has applied, by instance.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Create the cluster; ``start`` adds its groups."""
+        super().__init__()
+        self.disks: dict[str, Disk] = {}
+        self.recorders: dict[str, Recorder] = {}
+        self._folder = folder
+
+    async def start(self, tasks: TaskGroup) -> Group:
+        """Start three groups and return the one that leads."""
+        for name in 'abc':
+            self.disks[name] = Disk()
+            self.recorders[name] = Recorder()
+            store = RefusingStore(self._folder / name, self.disks[name])
+            group = self.add(
+                name, store.incarnation, store, self.recorders[name]
+            )
+            tasks.start_soon(group.run)
+            tasks.start_soon(group.maintain_membership)
+        first = self.groups[InstanceId('a')]
+        first.bootstrap()
+        await wait_until(lambda: has_only_voters(first, 'a', 'b', 'c'))
+        return first
+
+    def other_leader(self, group: Group) -> Group | None:
+        """Return another group that leads, if there is one."""
+        leaders = [
+            item
+            for item in self.groups.values()
+            if item is not group and item.is_serving
+        ]
+        return leaders[0] if leaders else None
+
+    async def wait_for_leader_but(self, group: Group) -> Group:
+        """Return another group once it leads."""
+        await wait_until(lambda: self.other_leader(group) is not None)
+        found = self.other_leader(group)
+        assert found is not None
+        return found
+
+    async def wait_applied(self, *commands: bytes) -> None:
+        """Return once each state machine has applied just these commands."""
+        await wait_until(
+            lambda: all(
+                recorder.applied == list(commands)
+                for recorder in self.recorders.values()
+            )
+        )
+
+
+def run(
+    scenario: Callable[[DiskCluster, TaskGroup], Awaitable[None]],
+    make_cluster: Callable[[pathlib.Path], DiskCluster] = DiskCluster,
+) -> None:
+    async def run_scenario(folder: pathlib.Path) -> None:
+        async with anyio.create_task_group() as tasks:
+            with anyio.fail_after(TIMEOUT_S):
+                await scenario(make_cluster(folder), tasks)
+            tasks.cancel_scope.cancel()
+
+    with tempfile.TemporaryDirectory() as folder:
+        anyio.run(functools.partial(run_scenario, pathlib.Path(folder)))
+
+
+@pytest.mark.parametrize('tears_writes', [False, True])
+def test_acknowledged_commands_survive_the_full_disk_of_the_leader(
+    tears_writes: bool,
+) -> None:
+    async def scenario(cluster: DiskCluster, tasks: TaskGroup) -> None:
+        leader = await cluster.start(tasks)
+        await leader.propose(b'1')
+        disk = cluster.disks[leader.me.instance]
+        disk.tears_writes = tears_writes
+        disk.is_full = True
+        with pytest.raises((LeadershipLostError, NotLeaderError)):
+            await leader.propose(b'lost')
+        successor = await cluster.wait_for_leader_but(leader)
+        await successor.propose(b'2')
+        disk.is_full = False
+        # The replica is a member again without a new process.
+        await cluster.wait_applied(b'1', b'2')
+        await successor.propose(b'3')
+        await cluster.wait_applied(b'1', b'2', b'3')
+
+    run(scenario)
+
+
+def test_commands_are_committed_while_a_follower_has_a_full_disk() -> None:
+    async def scenario(cluster: DiskCluster, tasks: TaskGroup) -> None:
+        leader = await cluster.start(tasks)
+        cluster.disks['c'].is_full = True
+        for number in range(5):
+            await leader.propose(b'%d' % number)
+        cluster.disks['c'].is_full = False
+        await cluster.wait_applied(b'0', b'1', b'2', b'3', b'4')
+
+    run(scenario)
+
+
+def test_full_disk_that_comes_and_goes_loses_nothing() -> None:
+    async def scenario(cluster: DiskCluster, tasks: TaskGroup) -> None:
+        leader = await cluster.start(tasks)
+        acknowledged = []
+        for number in range(6):
+            name = leader.me.instance
+            cluster.disks[name].is_full = True
+            with pytest.raises((LeadershipLostError, NotLeaderError)):
+                await leader.propose(b'lost')
+            leader = await cluster.wait_for_leader_but(leader)
+            cluster.disks[name].is_full = False
+            await leader.propose(b'%d' % number)
+            acknowledged.append(b'%d' % number)
+        await cluster.wait_applied(*acknowledged)
+
+    run(scenario)
+
+
+def test_leader_with_a_full_disk_hands_over_without_an_election_timeout() -> (
+    None
+):
+    def make_cluster(folder: pathlib.Path) -> DiskCluster:
+        cluster = DiskCluster(folder)
+        cluster.timing = SLOW_ELECTIONS
+        return cluster
+
+    async def scenario(cluster: DiskCluster, tasks: TaskGroup) -> None:
+        leader = await cluster.start(tasks)
+        cluster.disks[leader.me.instance].is_full = True
+        with pytest.raises((LeadershipLostError, NotLeaderError)):
+            await leader.propose(b'lost')
+        with anyio.fail_after(2):
+            await cluster.wait_for_leader_but(leader)
+
+    run(scenario, make_cluster)
+
+
+def test_unacknowledged_command_of_a_full_disk_may_have_run() -> None:
+    # A write that fails may have reached the disk, and a later leader may
+    # commit it, so that it must not be refused as not run.
+    async def scenario(cluster: DiskCluster, tasks: TaskGroup) -> None:
+        leader = await cluster.start(tasks)
+        cluster.disks[leader.me.instance].is_full = True
+        with pytest.raises(LeadershipLostError):
+            await leader.propose(b'lost')
+
+    run(scenario)
+
+
+def test_later_term_found_while_probing_with_a_full_disk_ends_no_task() -> None:
+    async def scenario(cluster: DiskCluster, tasks: TaskGroup) -> None:
+        leader = await cluster.start(tasks)
+        # The reply of a spare shows a later term, which has to be stored.
+        spare = cluster.add('d')
+        vote = VoteRequest(90, InstanceId('x'), 9, 9, is_handover=True)
+        await spare.handle(vote)
+        cluster.disks[leader.me.instance].is_full = True
+        successor = await cluster.wait_for_leader_but(leader)
+        cluster.disks[leader.me.instance].is_full = False
+        await successor.propose(b'1')
+        await cluster.wait_applied(b'1')
+
+    run(scenario)
+
+
+def test_replica_that_failed_applies_nothing_more() -> None:
+    # A request that is under way at the failure ends after the replica was
+    # opened again; it must not apply entries twice.
+    async def scenario(cluster: DiskCluster, tasks: TaskGroup) -> None:
+        leader = await cluster.start(tasks)
+        await leader.propose(b'1')
+        follower = cluster.groups[InstanceId('b')]
+        await cluster.wait_applied(b'1')
+        failed = follower.replica
+        cluster.disks['b'].is_full = True
+        await leader.propose(b'2')
+        cluster.disks['b'].is_full = False
+        await wait_until(lambda: follower.replica is not failed)
+        await cluster.wait_applied(b'1', b'2')
+        failed.log.append([Entry(failed.term, EntryKind.COMMAND, b'late')])
+        late = AppendRequest(
+            term=failed.term,
+            leader=leader.me.instance,
+            previous_index=failed.log.last_index,
+            previous_term=failed.log.last_term,
+            entries=[],
+            commit=failed.log.last_index,
+        )
+        with pytest.raises(OSError, match='stopped'):
+            await failed.handle(late)
+        assert cluster.recorders['b'].applied == [b'1', b'2']
+
+    run(scenario)
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -226,3 +226,51 @@
         store.append(6, entries(b'?'))
     with pytest.raises(OSError, match='closed'):
         anyio.run(store.sync)
+
+
+def test_reopened_store_holds_what_was_written_and_closes_the_old_one(
+    tmp_path: pathlib.Path,
+) -> None:
+    store = filled_store(tmp_path)
+    reopened = store.reopen()
+    assert reopened.load().entries == entries(b'1', b'2', b'x', b'y')
+    reopened.append(5, entries(b'z'))
+    anyio.run(reopened.sync)
+    # A late write of the failed replica must not replace the new journal.
+    with pytest.raises(OSError, match='closed'):
+        store.append(5, entries(b'late'))
+    with pytest.raises(OSError, match='closed'):
+        store.save_snapshot(Snapshot(3, 1, Members(())), entries(b'late'))
+    stored = DiskStore(tmp_path).load()
+    assert stored.entries == entries(b'1', b'2', b'x', b'y', b'z')
+    assert stored.vote == Vote(3, InstanceId('a'))
+
+
+def test_entries_of_a_failed_sync_are_written_again(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # After a failed fsync the pages may count as clean without being on disk.
+    store = filled_store(tmp_path)
+    inode = (tmp_path / 'journal').stat().st_ino
+    synced: list[int] = []
+    fsync = os.fsync
+
+    def record_sync(handle: int) -> None:
+        synced.append(os.fstat(handle).st_ino)
+        fsync(handle)
+
+    monkeypatch.setattr(os, 'fsync', record_sync)
+    store.reopen()
+    rewritten = (tmp_path / 'journal').stat().st_ino
+    assert rewritten != inode
+    assert rewritten in synced
+
+
+def test_folder_that_was_replaced_is_not_reopened(
+    tmp_path: pathlib.Path,
+) -> None:
+    # The replica would vote and count under an identity whose state is lost.
+    store = filled_store(tmp_path)
+    (tmp_path / 'incarnation').unlink()
+    with pytest.raises(CorruptionError, match='replaced'):
+        store.reopen()
