Measure the ledger's time by the leader's monotonic clock

Cause: entries stamped turns with their wall clocks, and the ledger took the highest stamp as its time. An entry whose clock jumped ahead by more than the margin of 10 s made the turns, streams and accounts of all others expire early; a turn of an entry whose clock was behind expired early as well. The deadlines of programs under acaciaramp serve jumped with the wall clock.

Change: the leader replaces the times of a command by those of the ledger, which go on from the last applied command by its monotonic clock; only the difference of two times of one command is used. The message formats stay. SystemClock.wall_ms follows the monotonic clock and takes over steps of the time of day by 1 ms in 100 ms, at most 10 ms at a reading.

--- a/src/acaciaramp/clock.py
+++ b/src/acaciaramp/clock.py
@@ -13,6 +13,11 @@
     from collections.abc import Callable
 
 MS_PER_SECOND = 1000
+# A step of the wall clock by seconds that is taken back within seconds then
+# moves stored times by a few hundredths of a second.
+_MS_PER_SLEWED_MS = 100
+# Bounds what is taken over at once after a long time without a reading.
+LONGEST_SLEW_MS = 10
 _NS_PER_MS = 1_000_000
 
 
@@ -58,15 +63,31 @@
 
 
 class SystemClock:
-    """The system clock; ``now_ms`` includes time while the host is suspended."""
+    """The system clock; ``now_ms`` includes time while the host is suspended.
+
+    Stored times decide when programs expire. ``wall_ms`` therefore follows the
+    monotonic clock and takes over steps of the host's time of day only slowly.
+    """
+
+    def __init__(self) -> None:
+        """Read the time of day of the host."""
+        self._read_ms = self.now_ms()
+        self._offset_ms = _host_wall_ms() - self._read_ms
 
     def now_ms(self) -> int:
         """Return monotonic milliseconds."""
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
 
     def wall_ms(self) -> int:
-        """Return milliseconds since 1970-01-01 UTC."""
-        return time.time_ns() // _NS_PER_MS
+        """Return milliseconds since 1970-01-01 UTC; they never go back."""
+        now_ms = self.now_ms()
+        allowed_ms = (now_ms - self._read_ms) // _MS_PER_SLEWED_MS
+        if allowed_ms:
+            self._read_ms = now_ms
+            allowed_ms = min(allowed_ms, LONGEST_SLEW_MS)
+            step_ms = _host_wall_ms() - now_ms - self._offset_ms
+            self._offset_ms += max(-allowed_ms, min(step_ms, allowed_ms))
+        return now_ms + self._offset_ms
 
     async def sleep_ms(self, duration_ms: int) -> None:
         """Sleep for ``duration_ms`` milliseconds."""
@@ -77,6 +98,10 @@
         return _SystemTimeout(duration_ms)
 
 
+def _host_wall_ms() -> int:
+    return time.time_ns() // _NS_PER_MS
+
+
 class _ScopeTimeout:
     """A timeout that cancels its body through an anyio cancel scope."""
 
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -55,8 +55,8 @@
         origin: The origin.
         number: Counts the origins that were recorded for the same request. The
             highest one holds, whatever the order in which they arrive.
-        until_ms: Wall-clock time after which nobody resumes the stream,
-            milliseconds.
+        until_ms: Time after which nobody resumes the stream, milliseconds;
+            on the same clock as ``at_ms`` of the command that carries it.
     """
 
     origin: StreamOrigin
@@ -73,7 +73,8 @@
         previous: Request id of the retained turn that it continues, if any.
         has_chain: Whether the sender has cached the chain of that turn, so
             that the reply can leave it out.
-        at_ms: Wall-clock time at the sender, milliseconds.
+        at_ms: Wall-clock time at the sender, milliseconds; the leader
+            replaces it by the ledger's time.
         begins: Stream that the turn begins; None if it cannot be resumed.
         resumes: Request id of the turn whose stream it resumes, if any.
         lasts_ms: Longest time until the turn is closed, milliseconds; 0 if it
@@ -97,7 +98,8 @@
         previous: Request id of the turn that it continues, if any.
         content: Input, then the data of each output event, each followed by a
             line feed.
-        until_ms: Wall-clock time at which the turn expires, milliseconds.
+        until_ms: Time at which the turn expires, milliseconds; on the same
+            clock as ``at_ms`` of the command that carries it.
     """
 
     previous: str | None
@@ -113,7 +115,8 @@
         program: Program whose budget the turn used, if any.
         tokens: Number of tokens that the turn generated.
         kept: The turn to store; None if it is not retained.
-        at_ms: Wall-clock time at the sender, milliseconds.
+        at_ms: Wall-clock time at the sender, milliseconds; the leader
+            replaces it by the ledger's time.
         endpoint: Endpoint that ran the turn; empty if none did.
     """
 
--- a/src/acaciaramp/conversations/replica.py
+++ b/src/acaciaramp/conversations/replica.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from acaciaramp.conversations.ledger_time import LedgerTime
 from acaciaramp.conversations.messages import (
     CloseReply,
     CloseTurn,
@@ -24,6 +25,8 @@
 from acaciaramp.replication.errors import PeerError
 
 if TYPE_CHECKING:
+    from acaciaramp.clock import Clock
+    from acaciaramp.conversations.ledger import Ledger
     from acaciaramp.ids import InstanceId
     from acaciaramp.metrics.client import Metrics
     from acaciaramp.peering.links import Links
@@ -44,14 +47,19 @@
         group: The local replica and its replication group.
     """
 
-    def __init__(self, group: Group, metrics: Metrics) -> None:
+    def __init__(
+        self, group: Group, ledger: Ledger, clock: Clock, metrics: Metrics
+    ) -> None:
         """Create the handler on top of a replica.
 
         Args:
             group: The local replica and its replication group.
+            ledger: The state machine of the replica.
+            clock: Measures the time of the ledger while this replica leads.
             metrics: Counts the outcomes of opened turns.
         """
         self.group = group
+        self._time = LedgerTime(ledger, clock)
         self._metrics = metrics
 
     async def handle_encoded(self, wire: bytes) -> bytes:
@@ -95,7 +103,8 @@
     async def _propose(
         self, command: OpenTurn | CloseTurn
     ) -> OpenReply | CloseReply:
-        reply = await self.group.propose_for_caller(_encode(command))
+        stamped = self._time.stamp(command, self.group.replica.term)
+        reply = await self.group.propose_for_caller(_encode(stamped))
         if not isinstance(reply, (OpenReply, CloseReply)):
             raise CallError(ErrorCode.INTERNAL, 'a command gave no reply')
         if isinstance(reply, OpenReply):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -195,13 +195,14 @@
         if not plan.needs_ledger:
             return OpenedTurn(plan, b'', is_new=True)
         cached = self._cached_chain(plan)
+        at_ms = self._clock.wall_ms()
         req = OpenTurn(
             turn=plan.key,
             reservation=plan.reservation(),
             previous=plan.previous,
             has_chain=cached is not None,
-            at_ms=self._clock.wall_ms(),
-            begins=self._begun_stream(plan, plan.origin, 1),
+            at_ms=at_ms,
+            begins=_begun_stream(plan, plan.origin, 1, at_ms),
             resumes=plan.resumes,
             lasts_ms=plan.timeout_ms + _COMMIT_TIMEOUT_MS,
         )
@@ -245,10 +246,11 @@
             CallError: The ledger did not reply in time.
         """
         number = turn.next_origin_number()
+        at_ms = self._clock.wall_ms()
         req = OpenTurn(
             turn=turn.plan.key,
-            at_ms=self._clock.wall_ms(),
-            begins=self._begun_stream(turn.plan, origin, number),
+            at_ms=at_ms,
+            begins=_begun_stream(turn.plan, origin, number, at_ms),
         )
         await self._ledger.open_turn(req, wait_ms)
         turn.origin = origin
@@ -328,15 +330,6 @@
         finally:
             self._pending_settlements -= 1
 
-    def _begun_stream(
-        self, plan: TurnPlan, origin: StreamOrigin | None, number: int
-    ) -> BegunStream | None:
-        if origin is None:
-            return None
-        lifetime_ms = plan.timeout_ms + _RESUME_MARGIN_MS
-        until_ms = self._clock.wall_ms() + lifetime_ms
-        return BegunStream(origin=origin, number=number, until_ms=until_ms)
-
     def _cached_chain(self, plan: TurnPlan) -> bytes | None:
         if plan.previous is None:
             return None
@@ -344,6 +337,23 @@
         return self._cache.get(key)
 
 
+def _begun_stream(
+    plan: TurnPlan, origin: StreamOrigin | None, number: int, at_ms: int
+) -> BegunStream | None:
+    """Return the stream that a turn begins; None without an origin.
+
+    Args:
+        plan: Parameters of the turn.
+        origin: Origin of the stream.
+        number: Number of the origin.
+        at_ms: Wall-clock time of the command.
+    """
+    if origin is None:
+        return None
+    until_ms = at_ms + plan.timeout_ms + _RESUME_MARGIN_MS
+    return BegunStream(origin=origin, number=number, until_ms=until_ms)
+
+
 def _refusal(plan: TurnPlan, reply: OpenReply) -> CallError:
     """Return the error for a turn that the ledger does not open."""
     match reply.outcome:
--- a/src/acaciaramp/roles/storage.py
+++ b/src/acaciaramp/roles/storage.py
@@ -35,10 +35,11 @@
         cfg = context.cfg
         self._context = context
         store = DiskStore(pathlib.Path(cfg.data_folder or '') / 'ledger')
+        ledger = Ledger()
         self._group = Group(
             me=Member(context.node.instance, store.incarnation),
             store=store,
-            state_machine=Ledger(),
+            state_machine=ledger,
             send=make_sender(context.links),
             clock=context.clock,
             timing=LOG_TIMING,
@@ -46,7 +47,9 @@
             eligible=lambda: self._follower.view.storages,
             retiring=lambda: self._follower.view.retiring,
         )
-        self._replica = LedgerReplica(self._group, context.metrics)
+        self._replica = LedgerReplica(
+            self._group, ledger, context.clock, context.metrics
+        )
         self._follower = context.make_follower(
             None, self._on_view, self._replica.status
         )
