Bind requests to the home regions of their route and workspace

Cause: a configuration may name regions in which the requests of a route or workspace run, and nothing obeyed that.

Change: homeRegions is decoded for routes and workspaces. A call has allowed_regions, the intersection of both. Placement and the expected origin of streams leave out other endpoints, tunnels and open connections through peers outside the regions are not used, and a request that cannot be placed is refused at once with 503 and Retry-After.

One stub in tests/forwarding/test_gateway.py takes the new argument of ConnectionPool.acquire; what it checks is unchanged.

Measured: tests/forwarding, tests/tunnels, tests/routing and tests/platform pass.

--- a/src/acaciaramp/errors.py
+++ b/src/acaciaramp/errors.py
@@ -42,6 +42,7 @@
     QUEUE_FULL = 'queue_full'
     QUEUE_TIMEOUT = 'queue_timeout'
     NO_ENDPOINT = 'no_endpoint'
+    HOME_REGION_UNAVAILABLE = 'home_region_unavailable'
     ENDPOINT_FAILED = 'endpoint_failed'
     ENDPOINT_LIMITED = 'endpoint_limited'
     OUTCOME_UNKNOWN = 'outcome_unknown'
--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -27,6 +27,7 @@
         service: Service that was picked for the request.
         services: Services of the routing table by which the request was routed.
         workspace: Workspace of the request's key; None if none is needed.
+        workspace_regions: Home regions of the workspace; empty for all.
         deadline_ms: Time at which the response is due, on the clock of the
             process.
         turn: The opened turn; None for a request without one.
@@ -43,12 +44,27 @@
     services: Mapping[ServiceName, Service]
     workspace: WorkspaceId | None
     deadline_ms: int
+    workspace_regions: tuple[str, ...] = ()
     turn: OpenedTurn | None = None
     runs: int = 0
     is_sent: bool = False
     endpoint: str = ''
     expected_origin: StreamOrigin | None = None
 
+    @property
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Regions in which it may run and be stored; None for all.
+
+        A body that is sent to another machine than the endpoint, such as a peer
+        or a storage instance, must stay in these regions as well.
+        """
+        named = [
+            frozenset(regions)
+            for regions in (self.route.home_regions, self.workspace_regions)
+            if regions
+        ]
+        return frozenset.intersection(*named) if named else None
+
     @property
     def begins_stream(self) -> bool:
         """Whether it begins a stream that another request may resume."""
@@ -73,6 +89,7 @@
             warm_endpoint=self.warm_endpoint,
             version=None if self.origin is None else self.origin.version,
             requires_version=self.resumes_stream,
+            regions=self.allowed_regions,
         )
 
     @property
--- a/src/acaciaramp/forwarding/chooser.py
+++ b/src/acaciaramp/forwarding/chooser.py
@@ -85,6 +85,19 @@
                 'began the stream',
             )
 
+    def check_place(self, call: Call) -> None:
+        """Check that a request bound to regions can be placed in them.
+
+        Such a request is refused at once: waiting does not bring a region that
+        is cut off nearer, and its caller may reach another instance.
+
+        Raises:
+            CallError: There is no endpoint in its regions, or none is reached.
+        """
+        problem = self._selector.place_problem(call.endpoint_query)
+        if problem is not None:
+            raise _place_error(call, problem)
+
     async def next_endpoint(self, call: Call, excluded: set[str]) -> Endpoint:
         """Return the endpoint for the next attempt of a request.
 
@@ -116,6 +129,7 @@
                 endpoint can go on with the stream that the request resumes.
         """
         while True:
+            self.check_place(call)
             self.check_resumption(call)
             endpoint = await self._choose(call, excluded)
             if endpoint is not None:
@@ -212,6 +226,17 @@
     )
 
 
+def _place_error(call: Call, code: ErrorCode) -> CallError:
+    regions = sorted(call.allowed_regions or ())
+    return CallError(
+        code,
+        f'no endpoint of service "{call.service}" can be reached in the home '
+        f'regions {regions}',
+        call.verdict,
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+
+
 def _no_slot_error(call: Call, wait_ms: int) -> CallError:
     return CallError(
         ErrorCode.ENDPOINT_LIMITED,
--- a/src/acaciaramp/forwarding/connections.py
+++ b/src/acaciaramp/forwarding/connections.py
@@ -20,6 +20,7 @@
     from acaciaramp.forwarding.dialer import DialedStream, Dialer
     from acaciaramp.forwarding.messages import RawHeaders
     from acaciaramp.ids import ServiceName
+    from acaciaramp.tunnels.opener import Regions
 
     ConnectionLimit = Callable[[ServiceName], int | None]
 
@@ -83,12 +84,14 @@
         idle_ms: Idle timeout of the endpoint, milliseconds.
         last_used_ms: Time at which it was last returned to the pool.
         peer: Host of the peer that it runs through; None if it is direct.
+        tunnel_peer: Address of that peer.
     """
 
     def __init__(self, origin: httpcore.Origin, dialed: DialedStream) -> None:
         """Create the connection on an open stream to the endpoint."""
         self.idle_ms = _DEFAULT_IDLE_MS
         self.last_used_ms = 0
+        self.tunnel_peer = dialed.peer
         self.peer = None if dialed.peer is None else dialed.peer.host
         self._origin = origin
         self._stream = _BoundedStream(dialed.stream)
@@ -164,9 +167,16 @@
         self._idle: dict[str, list[Connection]] = {}
         self._open_counts: collections.Counter[str] = collections.Counter()
 
-    async def acquire(self, endpoint: Endpoint) -> Connection:
+    async def acquire(
+        self, endpoint: Endpoint, regions: Regions = None
+    ) -> Connection:
         """Return an idle connection or open a new one.
 
+        Args:
+            endpoint: The endpoint.
+            regions: Regions that the request is bound to; None for all. It does
+                not pass through peers outside.
+
         Raises:
             EndpointError: The endpoint cannot be reached, or the limit of
                 connections is reached; nothing was sent.
@@ -174,11 +184,11 @@
         idle = self._idle.get(endpoint.id, [])
         while idle:
             conn = idle.pop()
-            if self._is_usable(conn):
+            if self._is_usable(conn, regions):
                 return conn
             await self.discard(endpoint, conn)
         self._check_limit(endpoint)
-        return await self._open(endpoint)
+        return await self._open(endpoint, regions)
 
     async def release(self, endpoint: Endpoint, conn: Connection) -> None:
         """Return a connection to the pool; close it if it is not reusable."""
@@ -211,7 +221,7 @@
             self._idle[endpoint_id].remove(conn)
         return expired
 
-    def _is_usable(self, conn: Connection) -> bool:
+    def _is_usable(self, conn: Connection, regions: Regions) -> bool:
         """Return whether a request may be sent on an idle connection.
 
         A direct one may be dead while new ones run through peers, and one through
@@ -219,6 +229,9 @@
         """
         if (conn.peer is not None) != self._dialer.uses_tunnels:
             return False
+        peer = conn.tunnel_peer
+        if peer is not None and not self._dialer.allows(peer, regions):
+            return False
         return conn.is_reusable() and not self._is_expired(conn)
 
     def _is_expired(self, conn: Connection) -> bool:
@@ -249,16 +262,18 @@
         if not self._open_counts[endpoint_id]:
             self._open_counts.pop(endpoint_id)
 
-    async def _open(self, endpoint: Endpoint) -> Connection:
+    async def _open(self, endpoint: Endpoint, regions: Regions) -> Connection:
         self._open_counts[endpoint.id] += 1
         try:
-            return await self._connect(endpoint)
+            return await self._connect(endpoint, regions)
         except BaseException:
             self._record_closed(endpoint.id)
             raise
 
-    async def _connect(self, endpoint: Endpoint) -> Connection:
-        dialed = await self._dialer.open(endpoint)
+    async def _connect(
+        self, endpoint: Endpoint, regions: Regions
+    ) -> Connection:
+        dialed = await self._dialer.open(endpoint, regions)
         origin = httpcore.Origin(b'http', endpoint.host.encode(), endpoint.port)
         return Connection(origin, dialed)
 
--- a/src/acaciaramp/forwarding/dialer.py
+++ b/src/acaciaramp/forwarding/dialer.py
@@ -17,7 +17,7 @@
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.reach import Reach
     from acaciaramp.tunnels.client import PeerAddress
-    from acaciaramp.tunnels.opener import TunnelOpener
+    from acaciaramp.tunnels.opener import Regions, TunnelOpener
 
 CONNECT_TIMEOUT_MS = 700
 
@@ -64,12 +64,29 @@
             return False
         return not self._tunnels.has_peers
 
-    async def open(self, endpoint: Endpoint) -> DialedStream:
+    def is_cut_off_in(self, regions: Regions) -> bool:
+        """Return whether nothing reaches endpoints for a bound request."""
+        if self._tunnels is None or not self._reach.is_lost:
+            return False
+        return not self._tunnels.has_peers_in(regions)
+
+    def allows(self, peer: PeerAddress, regions: Regions) -> bool:
+        """Return whether a request may pass through a peer."""
+        return self._tunnels is not None and self._tunnels.allows(peer, regions)
+
+    async def open(
+        self, endpoint: Endpoint, regions: Regions = None
+    ) -> DialedStream:
         """Open a connection to an endpoint.
 
         A direct attempt is replaced by a tunnel once this instance has found that
         it cannot reach endpoints.
 
+        Args:
+            endpoint: The endpoint.
+            regions: Regions that the request is bound to; None for all. A tunnel
+                runs only through peers that may see the request.
+
         Raises:
             EndpointError: There is no connection; nothing was sent.
         """
@@ -78,7 +95,7 @@
             if dialed is not None:
                 return dialed
         assert self._tunnels is not None
-        tunnel = await self._tunnels.open(endpoint)
+        tunnel = await self._tunnels.open(endpoint, regions)
         return DialedStream(tunnel.stream, tunnel.peer)
 
     async def _open_directly(self, endpoint: Endpoint) -> DialedStream | None:
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -112,7 +112,8 @@
         Raises:
             CallError: None is available or reached in any way.
         """
-        if self._dialer.is_cut_off:
+        regions = call.allowed_regions
+        if self._dialer.is_cut_off_in(regions):
             raise CallError(
                 ErrorCode.NO_ENDPOINT,
                 'neither this instance nor a peer can reach the endpoints',
@@ -143,7 +144,7 @@
     async def _send_on_connection(
         self, call: Call, endpoint: Endpoint, relay: Relay
     ) -> None:
-        conn = await self._connections.acquire(endpoint)
+        conn = await self._connections.acquire(endpoint, call.allowed_regions)
         started_ms = self._clock.now_ms()
         try:
             await self._exchange(call, endpoint, relay, conn)
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -28,9 +28,8 @@
     from acaciaramp.forwarding.forwarder import Forwarder
     from acaciaramp.forwarding.messages import Codec, InboundRequest
     from acaciaramp.forwarding.turns import TurnLifecycle
-    from acaciaramp.ids import WorkspaceId
     from acaciaramp.metrics.client import Metrics
-    from acaciaramp.routing.model import Route
+    from acaciaramp.routing.model import Route, WorkspacePolicy
     from acaciaramp.routing.router import Router
 
 logger = get_logger('gateway')
@@ -196,12 +195,16 @@
             CallError: There is no such route, or its key is missing or unknown.
         """
         route = self._find_route(inbound)
+        workspace = self._authorize(inbound, route)
         return Call(
             inbound=inbound,
             route=route,
             service=self._router.pick_service(route),
             services=self._router.services,
-            workspace=self._authorize(inbound, route),
+            workspace=None if workspace is None else workspace.name,
+            workspace_regions=()
+            if workspace is None
+            else workspace.home_regions,
             deadline_ms=inbound.started_ms + _time_limit_ms(inbound, route),
         )
 
@@ -278,7 +281,7 @@
 
     def _authorize(
         self, inbound: InboundRequest, route: Route
-    ) -> WorkspaceId | None:
+    ) -> WorkspacePolicy | None:
         """Return the workspace of the request's key, None if none is needed.
 
         Raises:
@@ -291,12 +294,13 @@
         workspace = self._router.workspace_for_key(inbound.key)
         if workspace is None:
             raise CallError(ErrorCode.KEY_UNKNOWN, 'the key is not known')
-        return workspace.name
+        return workspace
 
     async def _forward(
         self, call: Call, caller: Caller, tasks: TaskGroup
     ) -> None:
         self._check_quarantine(call)
+        self._chooser.check_place(call)
         call.expected_origin = self._chooser.expected_origin(call)
         prefetched = self._admission.start_prefetch(call, tasks)
         try:
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -14,6 +14,9 @@
 import msgspec
 
 from acaciaramp.coordination.messages import Endpoint
+from acaciaramp.endpoints.failures import Failure
+from acaciaramp.errors import ErrorCode
+from acaciaramp.forwarding.region_reach import RegionReach
 from acaciaramp.ids import ServiceName
 from acaciaramp.util.logs import get_logger
 
@@ -89,6 +92,7 @@
             the prompt; empty if it is unknown.
         version: Preferred version of the endpoint's software; None for any.
         requires_version: Whether no other version will do.
+        regions: Regions in which the endpoint may be; None for all.
     """
 
     service: ServiceName
@@ -96,9 +100,17 @@
     warm_endpoint: str = ''
     version: str | None = None
     requires_version: bool = False
+    regions: frozenset[str] | None = None
 
-    def allows(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint of the service may get the request."""
+    def allows(self, endpoint: Endpoint, region: str | None) -> bool:
+        """Return whether an endpoint of the service may get the request.
+
+        Args:
+            endpoint: The endpoint.
+            region: Its region; None if it is not known.
+        """
+        if self.regions is not None and region not in self.regions:
+            return False
         return not self.requires_version or endpoint.version == self.version
 
 
@@ -130,6 +142,7 @@
         self._zone = zone
         self._region = region
         self._regions = regions
+        self._region_reach = RegionReach(clock)
         self._clock = clock
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
         self._by_id: dict[EndpointId, Endpoint] = {}
@@ -162,6 +175,9 @@
         self._log_changes(by_service)
         self._by_service = by_service
         self._by_id = {endpoint.id: endpoint for endpoint in endpoints}
+        self._region_reach.replace_zones(
+            {each.availability_zone for each in self.staying()}, self._regions
+        )
         removed = self._states.keys() - self._by_id.keys()
         for endpoint_id in removed:
             if not self._states[endpoint_id].in_flight:
@@ -229,6 +245,21 @@
         is_known = bool(self._by_service.get(query.service))
         return is_known and not self._candidates(query)
 
+    def place_problem(self, query: EndpointQuery) -> ErrorCode | None:
+        """Return why a request cannot be placed for now; None if it may be.
+
+        Only requests that are bound to regions are checked, and only once some
+        endpoint is known: an instance that has just started cannot say.
+        """
+        if query.regions is None or not self._by_id:
+            return None
+        zones = {
+            item.availability_zone
+            for item in self._candidates(query)
+            if not self._region_reach.is_lost(item.availability_zone)
+        }
+        return None if zones else ErrorCode.HOME_REGION_UNAVAILABLE
+
     def explain(
         self, endpoint: Endpoint, query: EndpointQuery
     ) -> dict[str, Any]:
@@ -289,6 +320,7 @@
         state = self._states[endpoint.id]
         state.failures = 0
         state.paused_until_ms = 0
+        self._region_reach.record_success(endpoint)
 
     def record_failure(self, endpoint: Endpoint, reason: str) -> None:
         """Record a failure of an endpoint and back it off.
@@ -300,6 +332,8 @@
         """
         state = self._states[endpoint.id]
         state.failures += 1
+        if reason == Failure.CONNECT.value:
+            self._region_reach.record_failure(endpoint)
         backoff_ms = min(
             _MIN_BACKOFF_MS * 2 ** (state.failures - 1), _MAX_BACKOFF_MS
         )
@@ -319,7 +353,7 @@
         their grace lasts.
         """
         listed = self._by_service.get(query.service, ())
-        staying = list(filter(query.allows, listed))
+        staying = [item for item in listed if self._allows(query, item)]
         if staying or not query.requires_version:
             return staying
         oldest_ms = self._clock.now_ms() - self._leaving_grace_ms
@@ -327,10 +361,14 @@
             entry.endpoint
             for entry in self._leaving.values()
             if entry.endpoint.service == query.service
-            and query.allows(entry.endpoint)
+            and self._allows(query, entry.endpoint)
             and entry.since_ms > oldest_ms
         ]
 
+    def _allows(self, query: EndpointQuery, endpoint: Endpoint) -> bool:
+        region = self._regions.get(endpoint.availability_zone)
+        return query.allows(endpoint, region)
+
     def _leaving_entry(self, listed: Endpoint) -> _LeavingEndpoint | None:
         """Return the entry of a listed endpoint that is leaving, else None."""
         known = self._leaving.get(listed.id)
--- a/src/acaciaramp/platform/config.py
+++ b/src/acaciaramp/platform/config.py
@@ -44,6 +44,7 @@
     public: bool = False
     sticky: bool = False
     resumable: bool = False
+    home_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct, rename='camel'):
@@ -71,6 +72,7 @@
     priority: int | None = None
     rate_per_s: float = 0
     burst: float = 0
+    home_regions: list[str] | None = None
 
 
 class _Config(msgspec.Struct, rename='camel', kw_only=True):
@@ -130,6 +132,7 @@
         is_resumable=wire.resumable,
         is_retained=wire.retained,
         retention_ms=int(wire.retention_s * _MS_PER_SECOND),
+        home_regions=tuple(wire.home_regions or ()),
     )
 
 
@@ -158,4 +161,5 @@
         priority=wire.priority,
         rate_per_s=wire.rate_per_s,
         burst=wire.burst,
+        home_regions=tuple(wire.home_regions or ()),
     )
--- a/src/acaciaramp/routing/model.py
+++ b/src/acaciaramp/routing/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 
 import msgspec
 
@@ -56,6 +57,8 @@
         is_retained: Whether turns are stored so that later ones can continue
             them.
         retention_ms: How long turns are stored, milliseconds.
+        home_regions: Regions in which its requests may run and be stored;
+            empty for all.
     """
 
     name: str
@@ -72,6 +75,7 @@
     is_resumable: bool = False
     is_retained: bool = False
     retention_ms: int = 0
+    home_regions: tuple[str, ...] = ()
 
     @property
     def is_repeatable(self) -> bool:
@@ -127,6 +131,8 @@
         priority: Overrides the priority of the route unless None.
         rate_per_s: Requests per second over all instances; 0 for no limit.
         burst: Burst size in requests above the rate.
+        home_regions: Regions in which its requests may run and be stored;
+            empty for all.
     """
 
     name: WorkspaceId
@@ -134,6 +140,7 @@
     priority: int | None = None
     rate_per_s: float = 0
     burst: float = 0
+    home_regions: tuple[str, ...] = ()
 
 
 class RoutingTable(msgspec.Struct, frozen=True, kw_only=True):
@@ -152,3 +159,12 @@
     services: tuple[Service, ...]
     limits: TrafficLimits = TrafficLimits()
     workspaces: tuple[WorkspacePolicy, ...] = ()
+
+    @property
+    def home_regions(self) -> tuple[str, ...]:
+        """All home regions of routes and workspaces, sorted."""
+        lists = itertools.chain(
+            (route.home_regions for route in self.routes),
+            (workspace.home_regions for workspace in self.workspaces),
+        )
+        return tuple(sorted(set(itertools.chain.from_iterable(lists))))
--- a/src/acaciaramp/tunnels/opener.py
+++ b/src/acaciaramp/tunnels/opener.py
@@ -28,6 +28,8 @@
     from acaciaramp.metrics.client import Metrics
     from acaciaramp.tunnels.client import TunnelStream
 
+    Regions = frozenset[str] | None
+
 logger = get_logger('tunnels')
 
 _OPEN_TIMEOUT_MS = 700
@@ -95,9 +97,37 @@
         """Whether any peer may be able to open tunnels."""
         return not all(map(self._is_avoided, self._peers))
 
-    async def open(self, endpoint: Endpoint) -> Tunnel:
+    def has_peers_in(self, regions: Regions) -> bool:
+        """Return whether any peer may open tunnels for a bound request."""
+        return any(
+            self.allows(peer, regions) and not self._is_avoided(peer)
+            for peer in self._peers
+        )
+
+    def allows(self, peer: PeerAddress, regions: Regions) -> bool:
+        """Return whether a request may pass through a peer.
+
+        Args:
+            peer: The peer.
+            regions: Regions that the request is bound to; None for all. The
+                region of this instance is always allowed, as the request is
+                here already.
+        """
+        if regions is None:
+            return True
+        zone = self._peers.get(peer)
+        if zone is None:
+            return False
+        region = self._regions.get(zone)
+        return region in regions or region == self._regions.get(self._zone)
+
+    async def open(self, endpoint: Endpoint, regions: Regions = None) -> Tunnel:
         """Open a tunnel to an endpoint through the first peer that answers.
 
+        Args:
+            endpoint: The endpoint.
+            regions: Regions that the request is bound to; None for all.
+
         Raises:
             EndpointError: No peer has opened one; nothing was sent.
         """
@@ -116,7 +146,7 @@
                 if len(unreachable) == _MAX_UNREACHABLE:
                     tasks.cancel_scope.cancel()
 
-            for peer in self.ranked(endpoint)[:_MAX_ATTEMPTS]:
+            for peer in self.ranked(endpoint, regions)[:_MAX_ATTEMPTS]:
                 ended = anyio.Event()
                 tasks.start_soon(attempt, peer, ended)
                 await self._wait_briefly(ended)
@@ -128,22 +158,25 @@
             Failure.CONNECT, Verdict.NOT_RUN, 'no peer reaches the endpoint'
         )
 
-    def ranked(self, endpoint: Endpoint) -> list[PeerAddress]:
+    def ranked(
+        self, endpoint: Endpoint, regions: Regions = None
+    ) -> list[PeerAddress]:
         """Return the peers for an endpoint, preferred ones first.
 
         Bytes cross as few zones and regions as they would without the tunnel if
         the peer is in the zone of the endpoint or of this instance.
         """
         near = {self._zone, endpoint.availability_zone}
-        regions = {self._regions.get(zone) for zone in near}
+        near_regions = {self._regions.get(zone) for zone in near}
+        allowed = [peer for peer in self._peers if self.allows(peer, regions)]
 
         def rank(peer: PeerAddress) -> tuple[bool, int, float]:
             zone = self._peers[peer]
             distance = int(zone not in near)
-            distance += int(self._regions.get(zone) not in regions)
+            distance += int(self._regions.get(zone) not in near_regions)
             return self._is_avoided(peer), distance, self._rng.random()
 
-        return sorted(self._peers, key=rank)
+        return sorted(allowed, key=rank)
 
     async def _try_peer(
         self, peer: PeerAddress, endpoint: Endpoint
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -724,7 +724,9 @@
     acquiring: list[str] = []
 
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
-        async def never(endpoint: Endpoint) -> Connection:
+        async def never(
+            endpoint: Endpoint, regions: frozenset[str] | None = None
+        ) -> Connection:
             acquiring.append(endpoint.id)
             await anyio.sleep_forever()
             raise AssertionError
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -111,3 +111,18 @@
 def test_invalid_config_is_rejected(wrong: bytes) -> None:
     with pytest.raises(InvalidTableError):
         decode_table(wrong)
+
+
+def test_home_regions_are_decoded_and_none_binds_nothing() -> None:
+    tenant = CONFIG['tenants'][0]
+    table = decode_table(
+        config_json(
+            routes=[ROUTE | {'homeRegions': ['b']}],
+            tenants=[tenant | {'homeRegions': ['a', 'b']}],
+        )
+    )
+    assert table.routes[0].home_regions == ('b',)
+    assert table.workspaces[0].home_regions == ('a', 'b')
+    assert table.home_regions == ('a', 'b')
+    assert decode_table(config_with_route(homeRegions=[])).home_regions == ()
+    assert decode_table(config_json()).home_regions == ()
