--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -199,6 +199,11 @@
                     self._reach.record_heard(inbound.attempt)
                 head = self._codec.read_response(resp.status, resp.headers)
                 self._check_response(call, endpoint, head)
+                if self._chooser.overload is not None:
+                    sent_ms = call.deadline_ms - left_ms
+                    self._chooser.overload.record_response(
+                        call, self._clock.now_ms() - sent_ms
+                    )
                 conn.idle_ms = head.idle_ms or conn.idle_ms
                 await relay.send(head, resp)
                 await resp.aclose()
@@ -270,6 +275,8 @@
         if exc.failure is Failure.CONNECTION_LOST:
             self._reach.suspect(endpoint.id)
             self._report_crash(call.digest(), endpoint)
+        if self._chooser.overload is not None:
+            self._chooser.overload.record_failure(call, exc)
         call.is_sent = False
         if exc.verdict is not Verdict.NOT_RUN:
             call.runs += 1
--- a/src/acaciaramp/forwarding/overload.py
+++ b/src/acaciaramp/forwarding/overload.py
@@ -135,10 +135,6 @@
             collections.OrderedDict()
         )
 
-    def level_of(self, service: ServiceName) -> int:
-        """Return the percentage of new programs that a service admits."""
-        return self._state(service).level.percent
-
     def check_early(self, call: Call) -> None:
         """Refuse a request whose headers show that it starts a program.
 
@@ -165,7 +161,7 @@
         is_counted = call.demand is not None
         call.demand = self._demand(call, is_running=not is_new)
         state = self._state(call.service)
-        if is_new and not is_counted:
+        if not is_counted:
             state.level.record_arrival(call.demand)
         self._check_level(call, call.demand)
         state.retries.on_request()
@@ -211,11 +207,13 @@
         self._metrics.record_duration(Timer.QUEUE, waited_ms)
         wait_share = waited_ms / _objective_ms(call)
         if isinstance(taken, QueueRefusal):
-            state.level.record_wait(max(wait_share, _NEW_WAIT_FRACTION))
+            state.level.record_wait(
+                call.demand, max(wait_share, _NEW_WAIT_FRACTION)
+            )
             raise self._refusal(
                 call, taken.code, taken.message, taken.retry_after_ms
             )
-        state.level.record_wait(min(wait_share, _MAX_WAIT_SHARE))
+        state.level.record_wait(call.demand, min(wait_share, _MAX_WAIT_SHARE))
         return taken
 
     def release(self, call: Call) -> None:
@@ -227,11 +225,21 @@
             self._claims.pop(call.claimed)
         call.claimed = None
 
+    def record_response(self, call: Call, duration_ms: int) -> None:
+        """Record the time from sending a request to the head of its response."""
+        is_late = duration_ms > _objective_ms(call)
+        level = self._state(call.service).level
+        level.record_attempt(is_failure=is_late)
+
     def record_served(self, call: Call, duration_ms: int) -> None:
-        """Record an attempt that an endpoint has served."""
-        state = self._state(call.service)
-        state.record_duration(duration_ms)
-        state.level.record_attempt(is_refused=False)
+        """Record how long an endpoint took for a whole response."""
+        self._state(call.service).record_duration(duration_ms)
+
+    def record_failure(self, call: Call, exc: EndpointError) -> None:
+        """Record an attempt that an endpoint refused or did not answer."""
+        if exc.failure in {Failure.REFUSED, Failure.TIMEOUT}:
+            level = self._state(call.service).level
+            level.record_attempt(is_failure=True)
 
     def check_retry(self, call: Call, exc: EndpointError) -> None:
         """Check that a failed attempt may be repeated.
@@ -243,8 +251,6 @@
             CallError: The service is under load and its retries are used up.
         """
         state = self._state(call.service)
-        is_refused = exc.failure is Failure.REFUSED
-        state.level.record_attempt(is_refused=is_refused)
         if exc.failure is Failure.CONNECT or state.retries.try_retry():
             return
         if _is_idle(self._load.pressure_of(call.service)):
@@ -255,7 +261,9 @@
             ErrorCode.OVERLOADED,
             f'an attempt failed ({exc}), and the retries of service '
             f'"{call.service}" are used up',
-            self._level_retry_ms(state),
+            self._level_retry_ms(
+                call, 0 if call.demand is None else call.demand.priority
+            ),
         )
 
     def wake(self, service: ServiceName) -> None:
@@ -332,22 +340,22 @@
         """
         pressure = self._load.pressure_of(call.service)
         level = self._state(call.service).level
-        change = level.update(pressure)
-        if change is not None:
+        for change in level.update(pressure):
             self._record_change(call.service, change, pressure)
         if level.admits(demand) or _is_idle(pressure):
             return
         raise self._refusal(
             call,
             ErrorCode.OVERLOADED,
-            f'service "{call.service}" admits {level.percent}% of new programs; '
-            f'this one has priority {demand.priority}',
-            self._level_retry_ms(self._state(call.service)),
+            f'service "{call.service}" admits {level.percent(demand.priority)}% '
+            f'of the new programs of priority {demand.priority}',
+            self._level_retry_ms(call, demand.priority),
         )
 
-    def _level_retry_ms(self, state: _ServiceState) -> int:
+    def _level_retry_ms(self, call: Call, priority: int) -> int:
         """Return when half of what is refused now is expected to be admitted."""
-        return max(_MIN_RETRY_MS, state.level.recovery_ms // 2)
+        level = self._state(call.service).level
+        return max(_MIN_RETRY_MS, level.recovery_ms(priority) // 2)
 
     def _refusal(
         self, call: Call, code: ErrorCode, message: str, retry_ms: int
@@ -366,6 +374,7 @@
         logger.warning(
             'The admission level of a service has changed.',
             service=service,
+            priority=change.priority,
             percent=change.after,
             before=change.before,
             load=change.load.value,
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -84,7 +84,8 @@
         harness.metrics,
         random.Random(1),
     )
-    harness.chooser.overload._state(build.MODEL).level.percent = percent
+    level = harness.chooser.overload._state(build.MODEL).level
+    level._percents = {0: percent}
     return load
 
 
