Choose endpoints by the expected finish where they state their speed

Cause: a count of requests tells neither a slow machine from a fast one nor a long prompt from a short one, and entries that each send few requests know the load of few endpoints. Change: scheduling/expected_finish.py estimates the finish of a request at an endpoint from its wait, speed, cached prompt, cache memory and path; speeds.py learns the speeds of a service from responses, prefixes.py remembers which endpoints processed which parts of prompts. The selector ranks by it for services whose endpoints state a duration; the cost of the others is unchanged. Requests carry the token counts, the length hint and the parts of their prompt, services the kvCapacity of their engine. The board also counts requests that peers have sent since the last report.

--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -73,6 +73,9 @@
             warm_endpoint=self.warm_endpoint,
             version=None if self.origin is None else self.origin.version,
             requires_version=self.resumes_stream,
+            work=self.inbound.turn.work,
+            objective_ms=self.route.objective_ms,
+            cache_tokens=self._cache_tokens,
         )
 
     @property
@@ -136,6 +139,11 @@
         )
         return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
 
+    @property
+    def _cache_tokens(self) -> int:
+        service = self.services.get(self.service)
+        return 0 if service is None else service.cache_tokens
+
     @property
     def _is_resumable_stream(self) -> bool:
         is_stream = self.route.kind is RouteKind.STREAMING
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -133,12 +133,18 @@
             limit_per_s=self._limits.per_s(endpoint.id),
             **self._selector.explain(endpoint, call.endpoint_query),
         )
-        self._selector.record_start(endpoint, call.affinity_key)
+        query = call.endpoint_query
+        timing = self._selector.start_timing(endpoint, query)
+        context_tokens = query.work.context_tokens
+        self._selector.record_start(endpoint, call.affinity_key, context_tokens)
         call.endpoint = endpoint.id
+        relay.timing = timing
         try:
             await self._send_on_connection(call, endpoint, relay)
         finally:
-            self._selector.record_end(endpoint)
+            self._selector.record_end(endpoint, context_tokens)
+        if relay.is_success:
+            timing.record_end(call.tokens_per_event)
 
     async def _send_on_connection(
         self, call: Call, endpoint: Endpoint, relay: Relay
@@ -178,6 +184,8 @@
         call.is_sent = True
         if conn.peer is None:
             self._reach.record_sent(inbound.attempt)
+            if relay.timing is not None:
+                relay.timing.record_sent()
         else:
             logger.info(
                 'Sending the request through a peer.',
--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from acaciaramp.ids import ProgramId, WorkspaceId
+from acaciaramp.scheduling.expected_finish import PromptPart, RequestWork
 
 if TYPE_CHECKING:
     from acaciaramp.coordination.messages import Endpoint
@@ -25,6 +26,10 @@
         budget: Maximum number of tokens of all turns of the program.
         most_tokens: Maximum number of tokens that this turn generates.
         previous: Request id of the retained turn that it continues, if any.
+        prompt_tokens: Length of its prompt; 0 if unknown.
+        expected_tokens: Number of tokens that the caller expects; None if it
+            does not say.
+        parts: Parts of its prompt; empty if they are unknown.
     """
 
     program: ProgramId | None = None
@@ -32,6 +37,21 @@
     budget: int | None = None
     most_tokens: int = 0
     previous: str | None = None
+    prompt_tokens: int = 0
+    expected_tokens: int | None = None
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def work(self) -> RequestWork:
+        """Work of the turn: the expected tokens, within their maximum."""
+        bounds = (self.expected_tokens, self.most_tokens or None)
+        stated = [tokens for tokens in bounds if tokens is not None]
+        output_tokens = min(stated, default=0)
+        return RequestWork(
+            prompt_tokens=self.prompt_tokens,
+            output_tokens=output_tokens,
+            parts=self.parts,
+        )
 
 
 class InboundRequest(msgspec.Struct, kw_only=True):
--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -23,6 +23,7 @@
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.caller import Caller
     from acaciaramp.forwarding.messages import ResponseHead
+    from acaciaramp.scheduling.speeds import ResponseTiming
 
 _OK = 200
 _MULTIPLE_CHOICES = 300
@@ -37,6 +38,7 @@
     Attributes:
         events: Counts the events of a stream and collects their data.
         status: HTTP status of the response; 0 before its head has arrived.
+        timing: Learns when the parts of the response arrive.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         )
         self.events = EventCollector(keeps_content=keeps_content)
         self.status = 0
+        self.timing: ResponseTiming | None = None
         self._call = call
         self._caller = caller
         self._before_finish = before_finish
@@ -94,6 +97,7 @@
         with ResponseBuffer(self._buffers) as buffer:
             async for part in iter_body(resp):
                 buffer.append(part)
+            self._record_part()
             await self._send_whole(head, bytes(buffer.content))
 
     async def _send_whole(self, head: ResponseHead, body: bytes) -> None:
@@ -119,6 +123,7 @@
         last = b''
         async for part in iter_body(resp):
             self._feed_events(part)
+            self._record_part()
             if remaining_bytes is not None:
                 remaining_bytes -= len(part)
             if remaining_bytes == 0:
@@ -134,6 +139,10 @@
         await self._before_finish(self)
         await self._caller.finish(last)
 
+    def _record_part(self) -> None:
+        if self.timing is not None:
+            self.timing.record_part(self.events.events)
+
     def _feed_events(self, part: bytes) -> None:
         try:
             self.events.feed(part)
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -3,7 +3,8 @@
 Answers the load of many entry instances of which each sends few requests: such
 an instance often knows no endpoint's load, so what costs the same is chosen at
 random, and the endpoint that ran a program's last turn is known by the ledger's
-word.
+word. Where the endpoints of a service state how long work takes there, the expected
+finish of the request decides instead (``finish_ranking``).
 """
 
 from __future__ import annotations
@@ -14,8 +15,10 @@
 import msgspec
 
 from acaciaramp.coordination.messages import Endpoint
+from acaciaramp.forwarding.finish_ranking import FinishRanking
 from acaciaramp.ids import ServiceName
 from acaciaramp.metrics.client import Metrics
+from acaciaramp.scheduling.expected_finish import RequestWork
 from acaciaramp.scheduling.load_board import LoadBoard, LoadReport
 from acaciaramp.util.logs import get_logger
 
@@ -26,6 +29,7 @@
     from acaciaramp.clock import Clock
     from acaciaramp.forwarding.messages import EndpointLoad
     from acaciaramp.ids import AvailabilityZone, EndpointId
+    from acaciaramp.scheduling.speeds import ResponseTiming
 
 logger = get_logger('placement')
 
@@ -85,6 +89,9 @@
             the prompt; empty if it is unknown.
         version: Preferred version of the endpoint's software; None for any.
         requires_version: Whether no other version will do.
+        work: Its prompt and output, as far as its caller says.
+        objective_ms: Latency objective of its route; 0 for none.
+        cache_tokens: Cache memory of an endpoint of the service; 0 if unknown.
     """
 
     service: ServiceName
@@ -92,6 +99,9 @@
     warm_endpoint: str = ''
     version: str | None = None
     requires_version: bool = False
+    work: RequestWork = RequestWork()
+    objective_ms: int = 0
+    cache_tokens: int = 0
 
     def allows(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint of the service may get the request."""
@@ -128,6 +138,7 @@
             board: Load of the endpoints; None for a board of its own.
         """
         self.board = LoadBoard(clock, Metrics()) if board is None else board
+        self._finish = FinishRanking(self.board, zone, regions, clock, rng)
         self._leaving_grace_ms = leaving_grace_ms
         self._rng = rng
         self._zone = zone
@@ -137,9 +148,8 @@
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
         self._by_id: dict[EndpointId, Endpoint] = {}
         self._leaving: dict[EndpointId, _LeavingEndpoint] = {}
-        self._states: dict[str, _EndpointState] = collections.defaultdict(
-            _EndpointState
-        )
+        # Endpoints that have failed since their last response.
+        self._states: dict[str, _EndpointState] = {}
         self._endpoint_by_affinity: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
@@ -165,10 +175,10 @@
         self._log_changes(by_service)
         self._by_service = by_service
         self._by_id = {endpoint.id: endpoint for endpoint in endpoints}
-        self.board.retain(self._by_id.keys())
         for endpoint_id in self._states.keys() - self._by_id.keys():
             if not self.board.load_of(endpoint_id).in_flight:
                 self._states.pop(endpoint_id)
+        self.board.retain(self._by_id.keys())
 
     @property
     def has_endpoints(self) -> bool:
@@ -199,17 +209,19 @@
             The endpoints; empty if there are none but the excluded ones.
         """
         now_ms = self._clock.now_ms()
-        usable = [
-            endpoint
-            for endpoint in self._candidates(query)
-            if endpoint.id not in excluded
-        ]
-        active = [
-            endpoint
-            for endpoint in usable
-            if self._states[endpoint.id].paused_until_ms <= now_ms
-        ]
+        usable = self._candidates(query)
+        if excluded:
+            usable = [item for item in usable if item.id not in excluded]
+        active = usable
+        if self._states:
+            active = [
+                endpoint
+                for endpoint in usable
+                if not self._is_paused(endpoint, now_ms)
+            ]
         warm_id = self._warm_id(query)
+        if self._finish.applies_to(usable):
+            return self._finish.rank(active or usable, query, warm_id)
 
         def rank(item: Endpoint) -> tuple[float, float]:
             cost = self._cost(item, warm_id, now_ms)
@@ -237,28 +249,50 @@
     ) -> dict[str, Any]:
         """Return the inputs of a selection as log fields."""
         state = self.board.load_of(endpoint.id)
-        return {
+        warm_id = self._warm_id(query)
+        usable = self._candidates(query)
+        finish = {}
+        if self._finish.applies_to(usable):
+            finish = self._finish.explain(endpoint, usable, query, warm_id)
+        return finish | {
             'endpoint': endpoint.id,
             'version': endpoint.version,
             'zone': endpoint.availability_zone,
             'in_flight': state.in_flight,
             'foreign': state.foreign,
             'load_age_ms': self._clock.now_ms() - state.reported_ms,
-            'is_warm': self._warm_id(query) == endpoint.id,
+            'is_warm': warm_id == endpoint.id,
         }
 
-    def record_start(self, endpoint: Endpoint, affinity_key: str) -> None:
-        """Record that a request is sent to an endpoint."""
-        self.board.record_start(endpoint.id)
+    def start_timing(
+        self, endpoint: Endpoint, query: EndpointQuery
+    ) -> ResponseTiming:
+        """Return what learns from the response to a request.
+
+        To be called before ``record_start``.
+        """
+        return self._finish.record_start(endpoint, query, self._warm_id(query))
+
+    def record_start(
+        self, endpoint: Endpoint, affinity_key: str, context_tokens: int = 0
+    ) -> None:
+        """Record that a request is sent to an endpoint.
+
+        Args:
+            endpoint: The endpoint.
+            affinity_key: Shared by related requests; empty for none.
+            context_tokens: Cache memory that the request takes there.
+        """
+        self.board.record_start(endpoint.id, context_tokens)
         if affinity_key:
             self._endpoint_by_affinity[affinity_key] = endpoint.id
             self._endpoint_by_affinity.move_to_end(affinity_key)
             if len(self._endpoint_by_affinity) > _MAX_AFFINITY_KEYS:
                 self._endpoint_by_affinity.popitem(last=False)
 
-    def record_end(self, endpoint: Endpoint) -> None:
+    def record_end(self, endpoint: Endpoint, context_tokens: int = 0) -> None:
         """Record that a request at an endpoint has ended."""
-        self.board.record_end(endpoint.id)
+        self.board.record_end(endpoint.id, context_tokens)
 
     def record_load(self, endpoint: Endpoint, load: EndpointLoad) -> None:
         """Record the load that an endpoint reported in a response."""
@@ -296,9 +330,7 @@
 
     def record_success(self, endpoint: Endpoint) -> None:
         """Record a response of an endpoint; this ends its backoff."""
-        state = self._states[endpoint.id]
-        state.failures = 0
-        state.paused_until_ms = 0
+        self._states.pop(endpoint.id, None)
 
     def record_failure(self, endpoint: Endpoint, reason: str) -> None:
         """Record a failure of an endpoint and back it off.
@@ -308,7 +340,7 @@
             reason: Value of the :class:`~acaciaramp.endpoints.failures.Failure`,
                 for the log.
         """
-        state = self._states[endpoint.id]
+        state = self._states.setdefault(endpoint.id, _EndpointState())
         state.failures += 1
         backoff_ms = min(
             _MIN_BACKOFF_MS * 2 ** (state.failures - 1), _MAX_BACKOFF_MS
@@ -322,6 +354,10 @@
             pause_ms=backoff_ms,
         )
 
+    def _is_paused(self, endpoint: Endpoint, now_ms: int) -> bool:
+        state = self._states.get(endpoint.id)
+        return state is not None and state.paused_until_ms > now_ms
+
     def _candidates(self, query: EndpointQuery) -> list[Endpoint]:
         """Return the endpoints that a request may be sent to.
 
--- a/src/acaciaramp/platform/config.py
+++ b/src/acaciaramp/platform/config.py
@@ -47,9 +47,14 @@
 
 
 class _Engine(msgspec.Struct, rename='camel'):
-    """An engine; ``chunk_tokens`` is the number of tokens in a stream event."""
+    """An engine.
+
+    ``chunk_tokens`` is the number of tokens in a stream event, ``kv_capacity``
+    the memory of each endpoint for contexts, in tokens.
+    """
 
     chunk_tokens: int = 0
+    kv_capacity: int = 0
 
 
 class _Service(msgspec.Struct, rename='camel', kw_only=True):
@@ -139,6 +144,7 @@
         name=ServiceName(wire.name),
         most_connections=wire.max_conns,
         tokens_per_event=0 if engine is None else engine.chunk_tokens,
+        cache_tokens=0 if engine is None else engine.kv_capacity,
     )
 
 
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -16,6 +16,7 @@
 )
 from acaciaramp.ids import ProgramId
 from acaciaramp.platform.statuses import http_status
+from acaciaramp.scheduling.expected_finish import PromptPart
 from acaciaramp.util.http_protocol import request_target
 from acaciaramp.util.logs import get_logger
 from acaciaramp.util.numbers import parse_count, parse_decimal
@@ -71,6 +72,10 @@
 _UNIQUE_HEADERS = (_CONTENT_LENGTH, _HOST, _ATTEMPT, b'authorization')
 _MISDIRECTED_STATUS = 421
 _MS_PER_SECOND = 1000
+# Bounds on what callers may state of their prompts, over what engines can hold.
+_MAX_TOKENS = 10_000_000
+_MAX_PROMPT_PARTS = 32
+_MAX_PART_ID = 64
 
 
 class PlatformCodec:
@@ -212,12 +217,16 @@
     program = _text(by_name, b'x-program-id')
     # Number of prompt tokens, then the output token limit.
     counts = _text(by_name, b'x-token-counts').split(',')
+    prompt_tokens = _token_count(counts[0])
     return TurnParams(
         program=ProgramId(program) if program else None,
         session_id=_text(by_name, b'x-session-id'),
         budget=_int_or_none(by_name, b'x-token-budget'),
         most_tokens=_output_tokens(counts),
         previous=_text(by_name, b'x-previous-turn') or None,
+        prompt_tokens=prompt_tokens,
+        expected_tokens=_length_hint(by_name),
+        parts=_prompt_parts(_text(by_name, b'x-prefix-hash'), prompt_tokens),
     )
 
 
@@ -238,6 +247,33 @@
     return parse_count(counts[1].strip()) or 0
 
 
+def _token_count(text: str) -> int:
+    """Return a number of tokens within a limit, 0 if it is malformed."""
+    return min(parse_count(text.strip()) or 0, _MAX_TOKENS)
+
+
+def _length_hint(by_name: dict[bytes, bytes]) -> int | None:
+    hint = _int_or_none(by_name, b'x-length-hint')
+    return None if hint is None else min(hint, _MAX_TOKENS)
+
+
+def _prompt_parts(text: str, prompt_tokens: int) -> tuple[PromptPart, ...]:
+    """Parse ``ID:TOKENS,...`` up to the first malformed part.
+
+    The parts together are no longer than the prompt.
+    """
+    parts: list[PromptPart] = []
+    left = prompt_tokens
+    for item in text.split(',')[:_MAX_PROMPT_PARTS]:
+        name, _, tokens_text = item.strip().partition(':')
+        tokens = min(_token_count(tokens_text), left)
+        if not tokens or not name or len(name) > _MAX_PART_ID:
+            break
+        left -= tokens
+        parts.append(PromptPart(name, tokens))
+    return tuple(parts)
+
+
 def _bearer_key(authorization: bytes) -> str | None:
     if authorization[: len(_BEARER)].lower() != _BEARER:
         return None
--- a/src/acaciaramp/routing/model.py
+++ b/src/acaciaramp/routing/model.py
@@ -95,11 +95,14 @@
             accepts from all entry instances together; 0 for no limit.
         tokens_per_event: Tokens in each event of a stream; 0 for a service
             that generates none.
+        cache_tokens: Memory of an endpoint for the contexts of running requests
+            and for its cache, tokens; 0 if unknown.
     """
 
     name: ServiceName
     most_connections: int = 0
     tokens_per_event: int = 0
+    cache_tokens: int = 0
 
 
 class TrafficLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/acaciaramp/scheduling/load_board.py
+++ b/src/acaciaramp/scheduling/load_board.py
@@ -35,6 +35,11 @@
 # of the smoothed duration at least, and all of it after the time below.
 _MIN_SMOOTHING = 0.4
 _SMOOTHING_MS = 400
+# Some machines are slow for good; over this time a mean tells them from those
+# that are slow at times.
+_MEAN_DURATION_MS = 5_000
+# Requests that may be remembered as sent since the last report of an endpoint.
+_MAX_STARTS = 256
 # Bound of what one endpoint adds to a sum, as a multiple of its slots: a false
 # report must not decide for the whole service. Endpoints queue up to four times
 # their slots.
@@ -76,6 +81,18 @@
         )
 
 
+class RequestStart(NamedTuple):
+    """A request that was sent to an endpoint.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+        started_ms: When it was sent, on the clock of this process.
+    """
+
+    endpoint: EndpointId
+    started_ms: int
+
+
 class _BoundedLoad(NamedTuple):
     """What one endpoint adds to the load of a service."""
 
@@ -94,10 +111,13 @@
         running: Requests that it was executing at the last report.
         waiting: Requests in its queue at the last report.
         slots: Requests that it can execute at once; 0 if unknown.
-        sent_since: Requests that this instance has sent to it since the last
-            report, minus its earlier ones that have ended since.
+        sent_since: Requests that are known to be sent to it since the last
+            report, minus earlier ones of this instance that have ended since.
         duration_percent: Smoothed duration of work there in percent of the
             usual time; None if the endpoint has not stated any.
+        mean_duration_percent: Mean of what it has stated for a longer time.
+        context_tokens: Cache memory that the requests of this instance take
+            there.
         reported_ms: When the last report was observed.
     """
 
@@ -108,6 +128,8 @@
     slots: int = 0
     sent_since: int = 0
     duration_percent: float | None = None
+    mean_duration_percent: float = USUAL_DURATION_PERCENT
+    context_tokens: int = 0
     reported_ms: int = -REPORT_MAX_AGE_MS
 
     @property
@@ -153,6 +175,13 @@
             collections.defaultdict(collections.deque)
         )
         self._news: dict[str, LoadReport] = {}
+        # Requests of this instance that its peers do not know of, and start times
+        # of those of its peers, oldest first.
+        self._sent: collections.deque[RequestStart] = collections.deque(
+            maxlen=_MAX_STARTS
+        )
+        self._foreign_starts: dict[str, collections.deque[int]] = {}
+        self._changed: set[str] = set()
 
     def load_of(self, endpoint_id: str) -> EndpointState:
         """Return what is known of an endpoint; it is not to be changed."""
@@ -180,28 +209,62 @@
         if now_ms - report.observed_ms >= REPORT_MAX_AGE_MS:
             return False
         self._apply(state, report)
-        state.sent_since = 0
+        self._changed.add(report.endpoint)
+        starts = self._foreign_starts.get(report.endpoint, ())
         if is_own:
             # Only endpoints that state their speed are worth the messages.
             if state.duration_percent is not None:
                 self._news[report.endpoint] = report
         else:
-            state.sent_since = sum(
-                started_ms > report.observed_ms
-                for started_ms in self._starts[report.endpoint]
-            )
+            starts = (*starts, *self._starts[report.endpoint])
+        state.sent_since = sum(
+            started_ms > report.observed_ms for started_ms in starts
+        )
         return True
 
-    def record_start(self, endpoint_id: str) -> None:
-        """Record that this instance sends a request to an endpoint."""
+    def record_foreign_start(self, start: RequestStart) -> None:
+        """Record that another instance has sent a request to an endpoint.
+
+        It counts until the endpoint has reported, which it does when it begins
+        to answer.
+        """
+        now_ms = self._clock.now_ms()
+        oldest_ms = now_ms - REPORT_MAX_AGE_MS
+        if not oldest_ms < start.started_ms <= now_ms:
+            return
+        starts = self._foreign_starts.setdefault(
+            start.endpoint, collections.deque(maxlen=_MAX_STARTS)
+        )
+        while starts and starts[0] <= oldest_ms:
+            starts.popleft()
+        starts.append(start.started_ms)
+        state = self._states[start.endpoint]
+        if start.started_ms > state.reported_ms:
+            state.sent_since += 1
+            self._changed.add(start.endpoint)
+
+    def record_start(self, endpoint_id: str, context_tokens: int = 0) -> None:
+        """Record that this instance sends a request to an endpoint.
+
+        Args:
+            endpoint_id: The endpoint.
+            context_tokens: Cache memory that the request takes there.
+        """
         state = self._states[endpoint_id]
+        self._changed.add(endpoint_id)
+        state.context_tokens += context_tokens
         state.in_flight += 1
         state.sent_since += 1
-        self._starts[endpoint_id].append(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._starts[endpoint_id].append(now_ms)
+        if state.duration_percent is not None:
+            self._sent.append(RequestStart(EndpointId(endpoint_id), now_ms))
 
-    def record_end(self, endpoint_id: str) -> None:
+    def record_end(self, endpoint_id: str, context_tokens: int = 0) -> None:
         """Record that a request of this instance at an endpoint has ended."""
         state = self._states[endpoint_id]
+        self._changed.add(endpoint_id)
+        state.context_tokens -= context_tokens
         state.in_flight -= 1
         state.sent_since -= 1
         # Which of them has ended is not known; most often it is the oldest.
@@ -213,7 +276,9 @@
             if not self._states[endpoint_id].in_flight:
                 self._states.pop(endpoint_id)
                 self._starts.pop(endpoint_id, None)
+                self._foreign_starts.pop(endpoint_id, None)
                 self._news.pop(endpoint_id, None)
+                self._changed.add(endpoint_id)
 
     def take_news(self) -> list[LoadReport]:
         """Return the own observations since the last call, newest only.
@@ -224,6 +289,21 @@
         self._news = {}
         return news
 
+    def take_starts(self) -> list[RequestStart]:
+        """Return the requests that were sent since the last call.
+
+        Those to endpoints that state no duration are left out.
+        """
+        starts = list(self._sent)
+        self._sent.clear()
+        return starts
+
+    def take_changed(self) -> set[str]:
+        """Return the endpoints whose state has changed since the last call."""
+        changed = self._changed
+        self._changed = set()
+        return changed
+
     def pressure(self, endpoint_ids: Collection[str]) -> Pressure:
         """Return the load of a group of endpoints.
 
@@ -252,8 +332,16 @@
     def _apply(self, state: EndpointState, report: LoadReport) -> None:
         if report.duration_percent is not None:
             elapsed_ms = report.observed_ms - state.reported_ms
+            state.mean_duration_percent = _smoothed(
+                state.mean_duration_percent,
+                report.duration_percent,
+                elapsed_ms / _MEAN_DURATION_MS,
+            )
+            share = max(_MIN_SMOOTHING, elapsed_ms / _SMOOTHING_MS)
+            if state.duration_percent is None:
+                share = 1
             state.duration_percent = _smoothed(
-                state.duration_percent, report.duration_percent, elapsed_ms
+                state.duration_percent or 0, report.duration_percent, share
             )
         state.running = report.running
         state.waiting = report.waiting
@@ -264,9 +352,5 @@
         state.reported_ms = report.observed_ms
 
 
-def _smoothed(before: float | None, stated: int, elapsed_ms: int) -> float:
-    """Return the smoothed duration after a report."""
-    if before is None:
-        return stated
-    share = min(1, max(_MIN_SMOOTHING, elapsed_ms / _SMOOTHING_MS))
-    return before + share * (stated - before)
+def _smoothed(before: float, stated: int, share: float) -> float:
+    return before + min(1, share) * (stated - before)
--- a/tests/forwarding/test_selector.py
+++ b/tests/forwarding/test_selector.py
@@ -6,11 +6,14 @@
 import random
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from acaciaramp.clock import ManualClock
 from acaciaramp.forwarding.messages import EndpointLoad
 from acaciaramp.forwarding.selector import EndpointQuery, EndpointSelector
 from acaciaramp.ids import AvailabilityZone
 from acaciaramp.roles.entry import make_selector
+from acaciaramp.scheduling.expected_finish import PromptPart, RequestWork
 from acaciaramp.settings.node import InstanceList, NodeSettings, RoleName
 from tests import builders as build
 
@@ -286,3 +289,152 @@
         service=build.MODEL, version='v1', requires_version=True
     )
     assert not selector_with(clock=ManualClock()).lacks_version(query)
+
+
+WORK = RequestWork(
+    prompt_tokens=2_000,
+    output_tokens=100,
+    parts=(PromptPart('shared', 1_500), PromptPart('session', 500)),
+)
+WORK_QUERY = EndpointQuery(
+    service=build.MODEL, work=WORK, objective_ms=250, cache_tokens=20_000
+)
+
+
+def record_speed(
+    selector: EndpointSelector,
+    item: Endpoint,
+    percent: int = 100,
+    *,
+    running: int = 0,
+    waiting: int = 0,
+) -> None:
+    load = EndpointLoad(running, waiting, item.slots, percent)
+    selector.record_load(item, load)
+
+
+def first(selector: EndpointSelector, query: EndpointQuery = WORK_QUERY) -> str:
+    """Return the endpoint of a request; it must not be a matter of chance."""
+    names = {selector.rank(query)[0].id for _ in range(20)}
+    assert len(names) == 1
+    return names.pop()
+
+
+def test_a_slow_endpoint_is_avoided_though_it_is_less_busy() -> None:
+    a, b = endpoint('a'), endpoint('b')
+    selector = selector_with(a, b, clock=ManualClock())
+    record_speed(selector, a, 250)
+    record_speed(selector, b, running=1)
+    assert first(selector) == 'b'
+
+
+def test_another_zone_is_used_only_for_a_gain_over_the_cost_of_its_path() -> (
+    None
+):
+    near, south, far = (
+        endpoint('n'),
+        endpoint('s', 'south'),
+        endpoint('f', 'far'),
+    )
+    selector = selector_with(near, south, far, clock=ManualClock())
+    for item in (near, south, far):
+        record_speed(selector, item)
+    order = [item.id for item in selector.rank(WORK_QUERY)]
+    assert order == ['n', 's', 'f']
+    record_speed(selector, near, running=4, waiting=4)
+    assert first(selector) == 's'
+    record_speed(selector, south, running=4, waiting=12)
+    record_speed(selector, near, running=3)
+    assert first(selector) == 'n'
+    record_speed(selector, near, running=4, waiting=12)
+    assert first(selector) == 'f'
+
+
+def test_a_program_keeps_its_warm_endpoint_unless_another_finishes_sooner() -> (
+    None
+):
+    a, b = endpoint('a'), endpoint('b')
+    selector = selector_with(a, b, clock=ManualClock())
+    query = EndpointQuery(
+        service=build.MODEL, work=WORK, objective_ms=250, warm_endpoint='b'
+    )
+    record_speed(selector, a)
+    record_speed(selector, b)
+    assert first(selector, query) == 'b'
+    record_speed(selector, b, running=4, waiting=4)
+    assert first(selector, query) == 'a'
+
+
+def test_a_caller_in_another_zone_comes_back_for_a_long_warm_prompt() -> None:
+    """Guards against a fixed rule: the same sum decides for both lengths."""
+    near, south = endpoint('n'), endpoint('s', 'south')
+    selector = selector_with(near, south, clock=ManualClock())
+    record_speed(selector, near)
+    record_speed(selector, south)
+    for prompt_tokens, name in ((1_000, 'n'), (20_000, 's')):
+        query = EndpointQuery(
+            service=build.MODEL,
+            work=RequestWork(prompt_tokens=prompt_tokens, output_tokens=10),
+            objective_ms=250,
+            warm_endpoint='s',
+        )
+        assert first(selector, query) == name
+
+
+def test_a_shared_part_of_a_prompt_draws_requests_to_its_endpoint() -> None:
+    a, b = endpoint('a'), endpoint('b')
+    selector = selector_with(a, b, clock=ManualClock())
+    record_speed(selector, a)
+    record_speed(selector, b)
+    selector.start_timing(b, WORK_QUERY)
+    other = msgspec.structs.replace(
+        WORK, parts=(WORK.parts[0], PromptPart('other', 500))
+    )
+    query = msgspec.structs.replace(WORK_QUERY, work=other)
+    assert first(selector, query) == 'b'
+
+
+def test_requests_that_exceed_the_cache_memory_go_elsewhere() -> None:
+    a, b = endpoint('a'), endpoint('b', 'south')
+    selector = selector_with(a, b, clock=ManualClock())
+    record_speed(selector, a)
+    record_speed(selector, b)
+    assert first(selector) == 'a'
+    selector.record_start(a, '', 18_000)
+    assert first(selector) == 'b'
+    selector.record_end(a, 18_000)
+    assert first(selector) == 'a'
+
+
+def test_failed_and_excluded_endpoints_are_left_out_of_the_ranking() -> None:
+    a, b, c = endpoint('a'), endpoint('b'), endpoint('c')
+    selector = selector_with(a, b, c, clock=ManualClock())
+    for item in (a, b, c):
+        record_speed(selector, item)
+    selector.record_failure(a, 'cut')
+    assert [item.id for item in selector.rank(WORK_QUERY, ('b',))] == ['c']
+    assert [item.id for item in selector.rank(WORK_QUERY, ('b', 'c'))] == ['a']
+
+
+def test_requests_without_token_counts_go_to_the_endpoint_of_their_object() -> (
+    None
+):
+    a, b = endpoint('a'), endpoint('b')
+    selector = selector_with(a, b, clock=ManualClock())
+    record_speed(selector, a)
+    record_speed(selector, b)
+    query = EndpointQuery(service=build.MODEL, affinity_key='object')
+    selector.record_start(b, 'object')
+    assert first(selector, query) == 'b'
+
+
+def test_the_terms_of_a_choice_are_logged() -> None:
+    a = endpoint('a', 'south')
+    selector = selector_with(a, clock=ManualClock())
+    fields = selector.explain(a, WORK_QUERY)
+    assert 'finish_ms' not in fields
+    record_speed(selector, a, 200)
+    fields = selector.explain(a, WORK_QUERY)
+    assert fields['finish_ms'] > 600
+    assert fields['duration'] == 2
+    assert fields['prompt_tokens'] == 2_000
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -34,11 +34,12 @@
     'retentionS': 60.0,
     'resumable': False,
 }
+ENGINE = {'chunkTokens': 11, 'kvCapacity': 76_186}
 CONFIG: dict[str, Any] = {
     'version': 7,
     'routes': [ROUTE],
     'services': [
-        {'name': 'model', 'maxConns': 150, 'engine': {'chunkTokens': 11}},
+        {'name': 'model', 'maxConns': 150, 'engine': ENGINE},
         {'name': 'tool', 'healthPath': '/healthz'},
     ],
     'limits': {'maxHeaderBytes': 1, 'idleTimeoutMs': 15_000},
@@ -62,7 +63,12 @@
     assert route.targets == (Target(MODEL, 1),)
     assert (route.attempts, route.retention_ms) == (2, 60_000)
     assert table.services == (
-        Service(name=MODEL, most_connections=150, tokens_per_event=11),
+        Service(
+            name=MODEL,
+            most_connections=150,
+            tokens_per_event=11,
+            cache_tokens=76_186,
+        ),
         Service(name=TOOL),
     )
     assert table.limits == TrafficLimits(header_bytes=1, idle_ms=15_000)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -10,6 +10,7 @@
 from acaciaramp.forwarding.messages import EndpointLoad, TurnParams
 from acaciaramp.ids import ProgramId, WorkspaceId
 from acaciaramp.platform.headers import PlatformCodec
+from acaciaramp.scheduling.expected_finish import PromptPart, RequestWork
 from acaciaramp.util.http_protocol import target_extension
 from acaciaramp.verdicts import Verdict
 from tests import builders as build
@@ -75,6 +76,7 @@
         budget=2_288,
         most_tokens=286,
         previous='a0',
+        prompt_tokens=1_840,
     )
 
 
@@ -315,3 +317,68 @@
     with pytest.raises(CallError) as caught:
         CODEC.read_request(headers)
     assert caught.value.refusal.code is ErrorCode.BAD_REQUEST
+
+
+@pytest.mark.parametrize(
+    ('headers', 'work'),
+    [
+        ({}, RequestWork()),
+        (
+            {'x-token-counts': '1460,80'},
+            RequestWork(prompt_tokens=1_460, output_tokens=80),
+        ),
+        (
+            {'x-token-counts': '1460,80', 'x-length-hint': '30'},
+            RequestWork(prompt_tokens=1_460, output_tokens=30),
+        ),
+        (
+            {'x-token-counts': '1460,80', 'x-length-hint': '300'},
+            RequestWork(prompt_tokens=1_460, output_tokens=80),
+        ),
+        ({'x-length-hint': '30'}, RequestWork(output_tokens=30)),
+        (
+            {'x-token-counts': 'x,80', 'x-length-hint': '-3'},
+            RequestWork(output_tokens=80),
+        ),
+        (
+            {
+                'x-token-counts': '1210,80',
+                'x-prefix-hash': '5c1e07a2:800, 91bd3f06:410',
+            },
+            RequestWork(
+                prompt_tokens=1_210,
+                output_tokens=80,
+                parts=(
+                    PromptPart('5c1e07a2', 800),
+                    PromptPart('91bd3f06', 410),
+                ),
+            ),
+        ),
+    ],
+)
+def test_the_work_of_a_request_is_decoded(
+    headers: dict[str, str], work: RequestWork
+) -> None:
+    raw = [(name.encode(), text.encode()) for name, text in headers.items()]
+    assert CODEC.read_request(scope(*raw)).turn.work == work
+
+
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        ('a:5,b', (PromptPart('a', 5),)),
+        ('a:5,:3,c:4', (PromptPart('a', 5),)),
+        ('a:5,b:x,c:4', (PromptPart('a', 5),)),
+        (
+            'a:80,b:999999999999999999',
+            (PromptPart('a', 80), PromptPart('b', 20)),
+        ),
+        ('a:1,' * 40, (PromptPart('a', 1),) * 32),
+        (f'{"a" * 65}:5', ()),
+    ],
+)
+def test_malformed_and_excessive_parts_of_a_prompt_are_left_out(
+    text: str, parts: tuple[PromptPart, ...]
+) -> None:
+    raw = ((b'x-token-counts', b'100,8'), (b'x-prefix-hash', text.encode()))
+    assert CODEC.read_request(scope(*raw)).turn.parts == parts
--- a/tests/scheduling/test_load_board.py
+++ b/tests/scheduling/test_load_board.py
@@ -9,7 +9,11 @@
 from acaciaramp.clock import ManualClock
 from acaciaramp.ids import EndpointId
 from acaciaramp.metrics.client import Metrics
-from acaciaramp.scheduling.load_board import LoadBoard, LoadReport
+from acaciaramp.scheduling.load_board import (
+    LoadBoard,
+    LoadReport,
+    RequestStart,
+)
 from acaciaramp.scheduling.pressure import Pressure
 
 NAMES = tuple(f'e-{number}' for number in range(8))
@@ -65,6 +69,38 @@
     assert board.load_of('e-0').in_flight == 0
 
 
+def test_requests_that_peers_have_sent_count_until_a_later_report() -> None:
+    board, clock = board_at(5_000)
+    board.record(report(observed_ms=4_900), is_own=False)
+    for started_ms in (4_800, 4_950, 4_960, 5_001, 2_000):
+        board.record_foreign_start(RequestStart(EndpointId('e-0'), started_ms))
+    assert board.load_of('e-0').busy == 6
+    board.record(report(observed_ms=4_955), is_own=False)
+    assert board.load_of('e-0').busy == 5
+    clock.advance(1)
+    board.record(report(observed_ms=5_001))
+    assert board.load_of('e-0').busy == 4
+
+
+def test_starts_that_peers_report_are_bounded() -> None:
+    board, _ = board_at(5_000)
+    for _ in range(1_000):
+        board.record_foreign_start(RequestStart(EndpointId('e-0'), 4_990))
+        board.record_start('e-1')
+    board.record(report(observed_ms=4_980), is_own=False)
+    assert board.load_of('e-0').busy == 4 + 256
+
+
+def test_starts_are_news_where_endpoints_state_their_speed() -> None:
+    board, clock = board_at(5_000)
+    board.record_start('e-0')
+    board.record(report(observed_ms=5_000))
+    clock.advance(5)
+    board.record_start('e-0')
+    assert board.take_starts() == [RequestStart(EndpointId('e-0'), 5_005)]
+    assert board.take_starts() == []
+
+
 def test_requests_of_other_instances_exclude_the_own_ones() -> None:
     board, _ = board_at(0)
     board.record_start('e-0')
