Merge placement by the expected finish

Change: forwarding/service_load.py serves the load of services from the selector's board; roles/admission_control.py composes the admission control.

--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from acaciaramp.ids import ProgramId, WorkspaceId
+from acaciaramp.scheduling.expected_finish import PromptPart, RequestWork
 
 if TYPE_CHECKING:
     from acaciaramp.coordination.messages import Endpoint
@@ -27,6 +28,10 @@
         previous: Request id of the retained turn that it continues, if any.
         program_left_ms: Time left until the program should be finished,
             milliseconds; None if unknown.
+        prompt_tokens: Length of its prompt; 0 if unknown.
+        expected_tokens: Number of tokens that the caller expects; None if it
+            does not say.
+        parts: Parts of its prompt; empty if they are unknown.
     """
 
     program: ProgramId | None = None
@@ -35,6 +40,21 @@
     most_tokens: int = 0
     previous: str | None = None
     program_left_ms: int | None = None
+    prompt_tokens: int = 0
+    expected_tokens: int | None = None
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def work(self) -> RequestWork:
+        """Work of the turn: the expected tokens, within their maximum."""
+        bounds = (self.expected_tokens, self.most_tokens or None)
+        stated = [tokens for tokens in bounds if tokens is not None]
+        output_tokens = min(stated, default=0)
+        return RequestWork(
+            prompt_tokens=self.prompt_tokens,
+            output_tokens=output_tokens,
+            parts=self.parts,
+        )
 
 
 class InboundRequest(msgspec.Struct, kw_only=True):
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -3,7 +3,8 @@
 Answers the load of many entry instances of which each sends few requests: such
 an instance often knows no endpoint's load, so what costs the same is chosen at
 random, and the endpoint that ran a program's last turn is known by the ledger's
-word.
+word. Where the endpoints of a service state how long work takes there, the expected
+finish of the request decides instead (``finish_ranking``).
 """
 
 from __future__ import annotations
@@ -16,9 +17,11 @@
 from acaciaramp.coordination.messages import Endpoint
 from acaciaramp.endpoints.failures import Failure
 from acaciaramp.errors import ErrorCode
+from acaciaramp.forwarding.finish_ranking import FinishRanking
 from acaciaramp.forwarding.region_reach import RegionReach
 from acaciaramp.ids import ServiceName
 from acaciaramp.metrics.client import Metrics
+from acaciaramp.scheduling.expected_finish import RequestWork
 from acaciaramp.scheduling.load_board import LoadBoard, LoadReport
 from acaciaramp.util.logs import get_logger
 
@@ -29,7 +32,7 @@
     from acaciaramp.clock import Clock
     from acaciaramp.forwarding.messages import EndpointLoad
     from acaciaramp.ids import AvailabilityZone, EndpointId
-    from acaciaramp.scheduling.pressure import Pressure
+    from acaciaramp.scheduling.speeds import ResponseTiming
 
 logger = get_logger('placement')
 
@@ -90,6 +93,9 @@
         version: Preferred version of the endpoint's software; None for any.
         requires_version: Whether no other version will do.
         regions: Regions in which the endpoint may be; None for all.
+        work: Its prompt and output, as far as its caller says.
+        objective_ms: Latency objective of its route; 0 for none.
+        cache_tokens: Cache memory of an endpoint of the service; 0 if unknown.
     """
 
     service: ServiceName
@@ -98,6 +104,9 @@
     version: str | None = None
     requires_version: bool = False
     regions: frozenset[str] | None = None
+    work: RequestWork = RequestWork()
+    objective_ms: int = 0
+    cache_tokens: int = 0
 
     def allows(self, endpoint: Endpoint, region: str | None) -> bool:
         """Return whether an endpoint of the service may get the request.
@@ -141,6 +150,7 @@
             board: Load of the endpoints; None for a board of its own.
         """
         self.board = LoadBoard(clock, Metrics()) if board is None else board
+        self._finish = FinishRanking(self.board, zone, regions, clock, rng)
         self._leaving_grace_ms = leaving_grace_ms
         self._rng = rng
         self._zone = zone
@@ -151,9 +161,8 @@
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
         self._by_id: dict[EndpointId, Endpoint] = {}
         self._leaving: dict[EndpointId, _LeavingEndpoint] = {}
-        self._states: dict[str, _EndpointState] = collections.defaultdict(
-            _EndpointState
-        )
+        # Endpoints that have failed since their last response.
+        self._states: dict[str, _EndpointState] = {}
         self._endpoint_by_affinity: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
@@ -182,10 +191,10 @@
         self._region_reach.replace_zones(
             {each.availability_zone for each in self.staying()}, self._regions
         )
-        self.board.retain(self._by_id.keys())
         for endpoint_id in self._states.keys() - self._by_id.keys():
             if not self.board.load_of(endpoint_id).in_flight:
                 self._states.pop(endpoint_id)
+        self.board.retain(self._by_id.keys())
 
     @property
     def has_endpoints(self) -> bool:
@@ -196,8 +205,14 @@
         """Return the listed endpoint with an id, None if there is none."""
         return self._by_id.get(endpoint_id)
 
-    def staying(self) -> list[Endpoint]:
-        """Return all listed endpoints that are not leaving."""
+    def staying(self, service: ServiceName | None = None) -> list[Endpoint]:
+        """Return the listed endpoints that are not leaving.
+
+        Args:
+            service: Their service; None for all services.
+        """
+        if service is not None:
+            return self._by_service.get(service, [])
         return [item for group in self._by_service.values() for item in group]
 
     def rank(
@@ -216,17 +231,19 @@
             The endpoints; empty if there are none but the excluded ones.
         """
         now_ms = self._clock.now_ms()
-        usable = [
-            endpoint
-            for endpoint in self._candidates(query)
-            if endpoint.id not in excluded
-        ]
-        active = [
-            endpoint
-            for endpoint in usable
-            if self._states[endpoint.id].paused_until_ms <= now_ms
-        ]
+        usable = self._candidates(query)
+        if excluded:
+            usable = [item for item in usable if item.id not in excluded]
+        active = usable
+        if self._states:
+            active = [
+                endpoint
+                for endpoint in usable
+                if not self._is_paused(endpoint, now_ms)
+            ]
         warm_id = self._warm_id(query)
+        if self._finish.applies_to(usable):
+            return self._finish.rank(active or usable, query, warm_id)
 
         def rank(item: Endpoint) -> tuple[float, float]:
             cost = self._cost(item, warm_id, now_ms)
@@ -241,27 +258,6 @@
         """Return whether a request may be sent to an endpoint."""
         return endpoint in self._candidates(query)
 
-    def pressure_of(self, service: ServiceName) -> Pressure:
-        """Return the load of a service's endpoints, as far as it is known."""
-        listed = self._by_service.get(service, ())
-        return self.board.pressure([item.id for item in listed])
-
-    def has_capacity(self, endpoint: Endpoint, claimed: int) -> bool:
-        """Return whether an endpoint can take one more request.
-
-        One request beyond the slots is sent, so that a slot that comes free is
-        taken at once. Of an endpoint with an old report only this instance's
-        own requests count.
-
-        Args:
-            endpoint: The endpoint.
-            claimed: Number of requests that are about to be sent to it.
-        """
-        state = self.board.load_of(endpoint.id)
-        is_known = state.is_known(self._clock.now_ms())
-        busy = state.busy if is_known else state.in_flight
-        return not endpoint.slots or busy + claimed <= endpoint.slots
-
     def lacks_version(self, query: EndpointQuery) -> bool:
         """Return whether no listed endpoint of a service has the version.
 
@@ -290,28 +286,50 @@
     ) -> dict[str, Any]:
         """Return the inputs of a selection as log fields."""
         state = self.board.load_of(endpoint.id)
-        return {
+        warm_id = self._warm_id(query)
+        usable = self._candidates(query)
+        finish = {}
+        if self._finish.applies_to(usable):
+            finish = self._finish.explain(endpoint, usable, query, warm_id)
+        return finish | {
             'endpoint': endpoint.id,
             'version': endpoint.version,
             'zone': endpoint.availability_zone,
             'in_flight': state.in_flight,
             'foreign': state.foreign,
             'load_age_ms': self._clock.now_ms() - state.reported_ms,
-            'is_warm': self._warm_id(query) == endpoint.id,
+            'is_warm': warm_id == endpoint.id,
         }
 
-    def record_start(self, endpoint: Endpoint, affinity_key: str) -> None:
-        """Record that a request is sent to an endpoint."""
-        self.board.record_start(endpoint.id)
+    def start_timing(
+        self, endpoint: Endpoint, query: EndpointQuery
+    ) -> ResponseTiming:
+        """Return what learns from the response to a request.
+
+        To be called before ``record_start``.
+        """
+        return self._finish.record_start(endpoint, query, self._warm_id(query))
+
+    def record_start(
+        self, endpoint: Endpoint, affinity_key: str, context_tokens: int = 0
+    ) -> None:
+        """Record that a request is sent to an endpoint.
+
+        Args:
+            endpoint: The endpoint.
+            affinity_key: Shared by related requests; empty for none.
+            context_tokens: Cache memory that the request takes there.
+        """
+        self.board.record_start(endpoint.id, context_tokens)
         if affinity_key:
             self._endpoint_by_affinity[affinity_key] = endpoint.id
             self._endpoint_by_affinity.move_to_end(affinity_key)
             if len(self._endpoint_by_affinity) > _MAX_AFFINITY_KEYS:
                 self._endpoint_by_affinity.popitem(last=False)
 
-    def record_end(self, endpoint: Endpoint) -> None:
+    def record_end(self, endpoint: Endpoint, context_tokens: int = 0) -> None:
         """Record that a request at an endpoint has ended."""
-        self.board.record_end(endpoint.id)
+        self.board.record_end(endpoint.id, context_tokens)
 
     def record_load(self, endpoint: Endpoint, load: EndpointLoad) -> None:
         """Record the load that an endpoint reported in a response."""
@@ -349,9 +367,7 @@
 
     def record_success(self, endpoint: Endpoint) -> None:
         """Record a response of an endpoint; this ends its backoff."""
-        state = self._states[endpoint.id]
-        state.failures = 0
-        state.paused_until_ms = 0
+        self._states.pop(endpoint.id, None)
         self._region_reach.record_success(endpoint)
 
     def record_failure(self, endpoint: Endpoint, reason: str) -> None:
@@ -362,7 +378,7 @@
             reason: Value of the :class:`~acaciaramp.endpoints.failures.Failure`,
                 for the log.
         """
-        state = self._states[endpoint.id]
+        state = self._states.setdefault(endpoint.id, _EndpointState())
         state.failures += 1
         if reason == Failure.CONNECT.value:
             self._region_reach.record_failure(endpoint)
@@ -378,6 +394,10 @@
             pause_ms=backoff_ms,
         )
 
+    def _is_paused(self, endpoint: Endpoint, now_ms: int) -> bool:
+        state = self._states.get(endpoint.id)
+        return state is not None and state.paused_until_ms > now_ms
+
     def _candidates(self, query: EndpointQuery) -> list[Endpoint]:
         """Return the endpoints that a request may be sent to.
 
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -25,12 +25,12 @@
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
-from acaciaramp.forwarding.overload import OverloadControl
 from acaciaramp.forwarding.protocol import TrafficLimitProtocol
 from acaciaramp.forwarding.selector import EndpointSelector
 from acaciaramp.forwarding.turns import TurnLifecycle
 from acaciaramp.ids import WorkspaceId
 from acaciaramp.limits.quota import Quota
+from acaciaramp.roles.admission_control import make_overload_control
 from acaciaramp.roles.endpoint_paths import EndpointPaths
 from acaciaramp.routing.checks import InvalidTableError
 from acaciaramp.routing.router import Router
@@ -105,15 +105,9 @@
         )
         board = LoadBoard(context.clock, context.metrics)
         self._selector = make_selector(cfg, context.clock, rng, board)
-        self._overload: OverloadControl | None = None
-        if cfg.has_admission_control:
-            self._overload = OverloadControl(
-                self._selector,
-                self._workspace_priority,
-                context.clock,
-                context.metrics,
-                rng,
-            )
+        self._overload = make_overload_control(
+            context, self._selector, self._workspace_priority, rng
+        )
         self._limits = EndpointLimits(self._request_slot, context.clock)
         self._paths = EndpointPaths(context, self._selector, rng)
         self._connections = ConnectionPool(
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -14,6 +14,7 @@
 from acaciaramp.forwarding.chooser import EndpointChooser
 from acaciaramp.forwarding.messages import EndpointLoad
 from acaciaramp.forwarding.overload import OverloadControl
+from acaciaramp.forwarding.service_load import SelectorLoad
 from acaciaramp.routing.model import RouteKind, WorkspacePolicy
 from acaciaramp.scheduling.demand import position_of
 from acaciaramp.scheduling.pressure import Pressure
@@ -288,7 +289,7 @@
         control(harness)
         overload = harness.chooser.overload
         assert overload is not None
-        overload._load = harness.selector
+        overload._load = SelectorLoad(harness.selector, SystemClock())
         for endpoint in harness.endpoints:
             harness.selector.record_load(endpoint, EndpointLoad(4, 0, 4))
         caller = await harness.request()
