Exchange the load of endpoints between entry instances

Cause: each of a hundred entries sends an endpoint a request about once a minute and so knows the load of few. Change: entries push the loads that they observe, and the requests that they send, to up to 16 peers of their zone every 100 to 200 ms over the new peering channel LOADS. The entry with the lowest address of a zone exchanges digests with the other zones twice a second at most and passes on what it gets through four peers. Messages are not repeated, one at most is under way to each peer, and a peer that does not take one is paused for 1 to 10 s, as it is of an earlier build or gone. Nothing is sent for endpoints that report three figures.

--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -38,6 +38,9 @@
         TUNNEL_OPENED: Tunnels through peers opened.
         TUNNEL_FAILED: Peers that opened no tunnel when they were asked.
         TUNNEL_REQUESTED: Tunnels that peers asked for, by ``TunnelOutcome``.
+        LOADS_SENT: Messages with news of endpoints' loads that peers took.
+        LOADS_FAILED: Such messages that did not arrive or were refused.
+        LOADS_RECEIVED: Such messages from peers.
     """
 
     REFUSED = 'refused'
@@ -65,6 +68,9 @@
     TUNNEL_OPENED = 'tunnel.opened'
     TUNNEL_FAILED = 'tunnel.failed'
     TUNNEL_REQUESTED = 'tunnel.requested'
+    LOADS_SENT = 'loads.sent'
+    LOADS_FAILED = 'loads.failed'
+    LOADS_RECEIVED = 'loads.received'
 
 
 class GrantOutcome(enum.Enum):
--- a/src/acaciaramp/peering/messages.py
+++ b/src/acaciaramp/peering/messages.py
@@ -23,6 +23,7 @@
     LIMITS = 4
     COORDINATION = 5
     LEDGER = 6
+    LOADS = 7
 
 
 class FrameError(AcaciarampError):
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -25,6 +25,7 @@
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
+from acaciaramp.forwarding.load_exchange import LoadExchange
 from acaciaramp.forwarding.protocol import TrafficLimitProtocol
 from acaciaramp.forwarding.selector import EndpointSelector
 from acaciaramp.forwarding.turns import TurnLifecycle
@@ -106,6 +107,15 @@
         self._selector = make_selector(cfg, context.clock, rng, board)
         self._limits = EndpointLimits(self._request_slot, context.clock)
         self._paths = EndpointPaths(context, self._selector, rng)
+        self._loads = LoadExchange(
+            context.node,
+            self._selector,
+            context.links,
+            context.clock,
+            rng,
+            context.metrics,
+            context.tasks,
+        )
         self._connections = ConnectionPool(
             self._paths.dialer, context.clock, self._max_connections
         )
@@ -171,7 +181,8 @@
     async def run(self, stop: anyio.Event) -> None:
         """Serve until ``stop`` is set, then drain the requests in flight."""
         context = self._context
-        context.tasks.start_soon(context.serve_peers, {})
+        context.tasks.start_soon(context.serve_peers, self._loads.handlers)
+        context.tasks.start_soon(self._loads.run)
         context.tasks.start_soon(self._follower.run)
         context.tasks.start_soon(self._run_ticks)
         self._paths.start()
@@ -354,6 +365,7 @@
             self._replace_endpoints(view.endpoints)
         self._gateway.quarantined = frozenset(view.quarantined)
         self._paths.replace_peers(view)
+        self._loads.replace_peers(view)
         entries = len(view.entries)
         # The view of a new leader may lack entry instances that have not
         # reported yet. Keeping the larger count keeps the sum of the local
