--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -42,6 +42,9 @@
             ``LevelMove``.
         CALLER_CLOSED: Connections of callers that were closed, or refused a
             request, to bound memory and descriptors, by ``CloseReason``.
+        LOADS_SENT: Messages with news of endpoints' loads that peers took.
+        LOADS_FAILED: Such messages that did not arrive or were refused.
+        LOADS_RECEIVED: Such messages from peers.
     """
 
     REFUSED = 'refused'
@@ -71,6 +74,9 @@
     TUNNEL_REQUESTED = 'tunnel.requested'
     LEVEL_CHANGED = 'admission.level'
     CALLER_CLOSED = 'caller.closed'
+    LOADS_SENT = 'loads.sent'
+    LOADS_FAILED = 'loads.failed'
+    LOADS_RECEIVED = 'loads.received'
 
 
 class GrantOutcome(enum.Enum):
