Bound what slow callers and slow endpoints make a process hold

Cause: a response was read from its endpoint no faster than its caller read it, so that an endpoint would cut it off; unread bytes of a closed connection stayed until the caller closed it. Responses that are sent whole counted in a limit of their own and were copied. A request body was copied whole into the buffer of a slow endpoint's connection, and nothing bounded the bodies that one endpoint gets at once.

Change: once a response has begun it is written as it arrives. A caller that has left over 4 MiB unread, or reads nothing for 5 s after its connection was closed, is cut off, so that its response does not look complete. Whole responses count in the budget for callers, up to a half of it. Large bodies are sent in parts of 64 KiB.

--- a/src/acaciaramp/forwarding/buffers.py
+++ b/src/acaciaramp/forwarding/buffers.py
@@ -3,24 +3,36 @@
 from __future__ import annotations
 
 from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.util.caller_budget import CallerBudget, FixedHolder
 from acaciaramp.verdicts import Verdict
 
 MAX_RESPONSE_BYTES = 4_194_304
 # All responses of one process together; several of them may grow at once.
 MAX_TOTAL_BYTES = 25_165_824
+_BUDGET_FRACTION = 0.5
 
 
 class BufferLimit:
     """Counts the bytes that all buffers of a process hold."""
 
-    def __init__(self, most_bytes: int = MAX_TOTAL_BYTES) -> None:
+    def __init__(
+        self,
+        most_bytes: int = MAX_TOTAL_BYTES,
+        budget: CallerBudget | None = None,
+    ) -> None:
         """Create the limit without buffers.
 
         Args:
             most_bytes: Maximum size of all buffers together.
+            budget: Budget in which the buffers count as well, up to a half of
+                it. They take the room of requests that are being received.
         """
-        self._most_bytes = most_bytes
+        counted = budget or CallerBudget.unlimited()
+        half_bytes = counted.limits.most_bytes * _BUDGET_FRACTION
+        self._most_bytes = min(most_bytes, half_bytes)
         self._held_bytes = 0
+        self._holder = FixedHolder()
+        self._account = counted.open(self._holder)
 
     def add(self, size: int) -> None:
         """Count bytes that are added to a buffer.
@@ -30,11 +42,17 @@
         """
         if self._held_bytes + size > self._most_bytes:
             raise too_long_error(self._most_bytes)
-        self._held_bytes += size
+        self._count(size)
 
     def remove(self, size: int) -> None:
         """Count bytes whose buffer is not needed any more."""
-        self._held_bytes -= size
+        self._count(-size)
+
+    def _count(self, size: int) -> None:
+        self._held_bytes += size
+        self._holder.size = self._held_bytes
+        if self._account is not None:
+            self._account.update()
 
 
 class ResponseBuffer:
@@ -54,6 +72,7 @@
             most_bytes: Maximum size of this buffer.
         """
         self.content = bytearray()
+        self._size = 0
         self._limit = limit
         self._most_bytes = most_bytes
 
@@ -67,8 +86,14 @@
         They are freed at once, since the traceback of an error may keep the
         buffer itself for a while.
         """
-        self._limit.remove(len(self.content))
+        self._limit.remove(self._size)
+        self.content.clear()
+
+    def take(self) -> bytes:
+        """Return the body, which counts until the end of the context."""
+        whole = bytes(self.content)
         self.content.clear()
+        return whole
 
     def append(self, part: bytes) -> None:
         """Append a part of the body.
@@ -76,16 +101,17 @@
         Raises:
             EndpointError: The body is too large.
         """
-        if len(self.content) + len(part) > self._most_bytes:
+        if self._size + len(part) > self._most_bytes:
             raise too_long_error(self._most_bytes)
         self._limit.add(len(part))
+        self._size += len(part)
         self.content += part
 
 
-def too_long_error(most_bytes: int) -> EndpointError:
+def too_long_error(most_bytes: float) -> EndpointError:
     """Return the error for a response that exceeds a limit."""
     return EndpointError(
         Failure.MALFORMED,
         Verdict.MAY_HAVE_RUN,
-        f'the response exceeds the limit of {most_bytes} bytes',
+        f'the response exceeds the limit of {most_bytes:.0f} bytes',
     )
--- a/src/acaciaramp/forwarding/connections.py
+++ b/src/acaciaramp/forwarding/connections.py
@@ -32,6 +32,9 @@
 # The read that completes a head may contain up to 64 KiB of the body.
 _MAX_HEAD_BYTES = 98_304
 
+# A slow endpoint holds up one such part of a body at a time.
+_SENT_PART_BYTES = 65_536
+
 
 class _HeadTooLongError(Exception):
     """The head of a response does not end."""
@@ -112,7 +115,9 @@
         self._stream.start_head()
         try:
             resp = await self._http.handle_async_request(
-                httpcore.Request(method, url, headers=headers, content=body)
+                httpcore.Request(
+                    method, url, headers=headers, content=_body_parts(body)
+                )
             )
         except _HeadTooLongError:
             raise too_long_error(_MAX_HEAD_BYTES) from None
@@ -263,6 +268,18 @@
         return Connection(origin, dialed)
 
 
+def _body_parts(body: bytes) -> bytes | AsyncIterator[bytes]:
+    """Return a body so that no second copy of a large one waits to be sent."""
+    if len(body) <= _SENT_PART_BYTES:
+        return body
+    return _iter_parts(body)
+
+
+async def _iter_parts(body: bytes) -> AsyncIterator[bytes]:
+    for start in range(0, len(body), _SENT_PART_BYTES):
+        yield body[start : start + _SENT_PART_BYTES]
+
+
 async def iter_body(resp: httpcore.Response) -> AsyncIterator[bytes]:
     """Yield the parts of a response body as they arrive.
 
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 
 from acaciaramp.endpoints.failures import EndpointError, Failure
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.forwarding.endpoint_bytes import EndpointBytes
 from acaciaramp.metrics.names import BadInput, Counter, Timer
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
@@ -74,6 +75,7 @@
         self._selector = selector
         self._limits = limits
         self._connections = connections
+        self._endpoint_bytes = EndpointBytes()
         self._clock = clock
         self._metrics = metrics
         self._report_crash = report_crash
@@ -142,6 +144,12 @@
 
     async def _send_on_connection(
         self, call: Call, endpoint: Endpoint, relay: Relay
+    ) -> None:
+        with self._endpoint_bytes.sending(endpoint.id, len(call.body)):
+            await self._send_counted(call, endpoint, relay)
+
+    async def _send_counted(
+        self, call: Call, endpoint: Endpoint, relay: Relay
     ) -> None:
         conn = await self._connections.acquire(endpoint)
         started_ms = self._clock.now_ms()
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -65,6 +65,7 @@
         forwarder: Forwarder,
         clock: Clock,
         metrics: Metrics,
+        buffers: BufferLimit | None = None,
     ) -> None:
         """Create the gateway.
 
@@ -77,6 +78,8 @@
             forwarder: Forwards requests to endpoints.
             clock: Source of time.
             metrics: Counts responses, refusals and invalid input.
+            buffers: Limit on responses that are sent whole; None for the
+                default.
         """
         self.draining = Draining(clock)
         self.in_flight = 0
@@ -89,7 +92,7 @@
         self._forwarder = forwarder
         self._clock = clock
         self._metrics = metrics
-        self._buffers = BufferLimit()
+        self._buffers = buffers or BufferLimit()
         self._scopes: set[anyio.CancelScope] = set()
 
     def end_requests(self) -> None:
--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -94,7 +94,7 @@
         with ResponseBuffer(self._buffers) as buffer:
             async for part in iter_body(resp):
                 buffer.append(part)
-            await self._send_whole(head, bytes(buffer.content))
+            await self._send_whole(head, buffer.take())
 
     async def _send_whole(self, head: ResponseHead, body: bytes) -> None:
         if head.length is not None and self._call.inbound.method != 'HEAD':
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -20,6 +20,7 @@
 )
 from acaciaramp.errors import CallError
 from acaciaramp.forwarding.admission import Admission
+from acaciaramp.forwarding.buffers import BufferLimit
 from acaciaramp.forwarding.chooser import EndpointChooser
 from acaciaramp.forwarding.connections import ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
@@ -149,6 +150,7 @@
             ),
             clock=context.clock,
             metrics=context.metrics,
+            buffers=BufferLimit(budget=context.callers),
         )
         self._readiness_port = split_address(cfg.readiness or '')[1]
         self._read_endpoints = adapter.make_reader(
--- a/src/acaciaramp/util/caller_budget.py
+++ b/src/acaciaramp/util/caller_budget.py
@@ -114,6 +114,34 @@
         ...
 
 
+class FixedHolder:
+    """A holder that cannot be evicted, such as responses that have arrived.
+
+    Attributes:
+        size: Number of bytes that it holds.
+    """
+
+    def __init__(self) -> None:
+        """Create a holder of nothing."""
+        self.size = 0
+
+    def held_bytes(self) -> int:
+        """Return ``size``."""
+        return self.size
+
+    def is_evictable(self) -> bool:
+        """Return that it may not be closed."""
+        return False
+
+    def is_ending(self) -> bool:
+        """Return that it goes on."""
+        return False
+
+    def evict(self) -> CloseReason:
+        """Release nothing; never called."""
+        return CloseReason.IDLE
+
+
 class Account:
     """What is held for one holder.
 
--- a/src/acaciaramp/util/held_bytes.py
+++ b/src/acaciaramp/util/held_bytes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
+import math
 from typing import TYPE_CHECKING, Any, Protocol
 
 from acaciaramp.util.caller_budget import CloseReason
@@ -15,6 +17,11 @@
 # bytes that were received (measured with CPython 3.11).
 _REQUEST_BYTES = 2_560
 _HEADER_BYTES = 160
+# A caller that reads more slowly than its response arrives is cut off beyond this:
+# as much as the largest response that is sent whole.
+MAX_UNREAD_BYTES = 4_194_304
+# A caller that has read nothing for this long does not read any more.
+_UNREAD_CHECK_S = 5
 # What was written within this time may not have been offered to the caller yet.
 _SLOW_S = 1
 
@@ -40,11 +47,6 @@
         """Whether nothing more is parsed of the connection."""
         ...
 
-    @property
-    def is_lingering(self) -> bool:
-        """Whether the last response was written."""
-        ...
-
     def reject(self, status: bytes, message: str) -> None:
         """Reject the request that is being received."""
         ...
@@ -66,6 +68,8 @@
         self._head_bytes = 0
         self._request_bytes: collections.deque[int] = collections.deque()
         self._is_aborted = False
+        self._is_ending = False
+        self._check_timer: asyncio.TimerHandle | None = None
 
     def open(self) -> bool:
         """Open the account; return whether there is room for the connection."""
@@ -74,6 +78,8 @@
 
     def close(self) -> None:
         """Close the account, as the connection is lost."""
+        if self._check_timer is not None:
+            self._check_timer.cancel()
         if self._account is not None:
             self._account.close()
             self._account = None
@@ -127,13 +133,29 @@
         """Forget the newest request."""
         self._request_bytes.pop()
 
+    def end(self) -> None:
+        """Record that the last response was written."""
+        self._is_ending = True
+
     def write(self, data: bytes) -> None:
-        """Write bytes and count those that the caller does not read."""
-        if not self._unread_bytes:
+        """Write bytes and count those that the caller does not read.
+
+        If it has left too many unread before, it is cut off.
+        """
+        unread_bytes = self._unread_bytes
+        if unread_bytes > MAX_UNREAD_BYTES:
+            self._abort()
+            return
+        if not unread_bytes:
             self.record_progress()
         self._connection.transport.write(data)
         self.update()
 
+    def close_when_read(self) -> None:
+        """Close the connection; cut it off if the caller does not read on."""
+        self._connection.transport.close()
+        self._check_read(math.inf)
+
     def held_bytes(self) -> int:
         """Return the number of bytes that are held for the caller."""
         if self._is_aborted:
@@ -142,8 +164,7 @@
 
     def is_ending(self) -> bool:
         """Return whether the last response was written."""
-        connection = self._connection
-        return connection.is_lingering or connection.transport.is_closing()
+        return self._is_ending or self._connection.transport.is_closing()
 
     def is_evictable(self) -> bool:
         """Return whether the connection may be closed, or its request refused.
@@ -176,6 +197,22 @@
         connection.reject(UNAVAILABLE, 'there is no room for the request')
         return CloseReason.BODY if is_body else CloseReason.HEADERS
 
+    def _abort(self) -> None:
+        if not self._is_aborted:
+            self.record_refusal(CloseReason.UNREAD)
+            self._is_aborted = True
+            self._connection.transport.abort()
+
+    def _check_read(self, before_bytes: float) -> None:
+        """Cut the caller off if it has read nothing since the last check."""
+        unread_bytes = self._unread_bytes
+        if unread_bytes >= before_bytes:
+            self._abort()
+        elif unread_bytes:
+            self._check_timer = asyncio.get_running_loop().call_later(
+                _UNREAD_CHECK_S, self._check_read, unread_bytes
+            )
+
     @property
     def _is_receiving(self) -> bool:
         return bool(self._head_bytes) or self._connection.is_receiving_body
@@ -195,6 +232,29 @@
         return is_paused or self._account.stalled_s >= _SLOW_S
 
 
+class EagerFlow:
+    """Flow control of a response, which does not wait for a slow caller.
+
+    An endpoint cuts off a response that is not read for some seconds. A response
+    begins only once the caller has read most of those before; from then on it
+    is written as it arrives, within ``MAX_UNREAD_BYTES``.
+    """
+
+    def __init__(self, flow: Any, cycle: Any) -> None:
+        """Create it for a request."""
+        self.drain = flow.drain
+        self.pause_reading = flow.pause_reading
+        self.resume_reading = flow.resume_reading
+        self._flow = flow
+        self._cycle = cycle
+
+    @property
+    def write_paused(self) -> bool:
+        """Whether the next part of the response has to wait."""
+        is_paused: bool = self._flow.write_paused
+        return is_paused and not self._cycle.response_started
+
+
 class CountedTransport:
     """What a request writes its response to."""
 
--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -18,6 +18,7 @@
 from acaciaramp.util.held_bytes import (
     UNAVAILABLE,
     CountedTransport,
+    EagerFlow,
     HeldBytes,
 )
 
@@ -167,6 +168,7 @@
         self.cycle.transport = CountedTransport(  # type: ignore[assignment]
             self.transport, self._held, self._close_after_response
         )
+        self.cycle.flow = EagerFlow(self.flow, self.cycle)  # type: ignore[assignment]
         self._unfinished.append(self.cycle)
         self._held.end_head()
 
@@ -194,6 +196,11 @@
         self._held.update()
         super().resume_writing()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close the connection, as no request has come for some time."""
+        if not self.transport.is_closing():
+            self._held.close_when_read()
+
     @property
     def is_receiving_body(self) -> bool:
         """Whether the body of the newest request is incomplete."""
@@ -204,11 +211,6 @@
         """Whether nothing more is parsed of the connection."""
         return self._rejection is not None
 
-    @property
-    def is_lingering(self) -> bool:
-        """Whether the last response was written."""
-        return self._linger_timer is not None
-
     def reject(self, status: bytes, message: str) -> None:
         """Respond with a status and close the connection.
 
@@ -270,7 +272,7 @@
         ``_linger``; none of them is parsed.
         """
         if not (self.is_receiving_body or self.pipeline):
-            self.transport.close()
+            self._held.close_when_read()
             return
         self._rejection = b''
         self.pipeline.clear()
@@ -317,6 +319,7 @@
         """
         if self._linger_timer is not None:
             return
+        self._held.end()
         self.transport.write_eof()
         self.flow.resume_reading()
         self._linger_timer = self.loop.call_later(
--- a/tests/util/test_http_budget.py
+++ b/tests/util/test_http_budget.py
@@ -8,11 +8,13 @@
 import anyio
 import pytest
 
+from acaciaramp.util import held_bytes
 from acaciaramp.util.caller_budget import (
     BudgetLimits,
     CallerBudget,
     CloseReason,
 )
+from acaciaramp.util.held_bytes import MAX_UNREAD_BYTES
 from acaciaramp.util.http_protocol import RequestProtocol
 from tests.util.connections import (
     TIMEOUT_S,
@@ -172,6 +174,63 @@
     assert fixture.reasons == [CloseReason.UNREAD]
 
 
+# Guards against an endpoint that cuts off a response, as a slow caller keeps it
+# from being read.
+def test_a_response_is_written_on_while_its_caller_is_slow() -> None:
+    fixture = Fixture(BudgetLimits())
+    written: list[int] = []
+    part = 65_536 * b'x'
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': []}
+        )
+        for number in range(1_000):
+            body = {'type': 'http.response.body', 'body': part}
+            await send({**body, 'more_body': True})
+            written.append(number)
+            if fixture.reasons:
+                return
+
+    async def scenario() -> bytes:
+        async with connected(app, fixture.protocol) as stream:
+            await stream.send(b'GET / HTTP/1.1\r\n\r\n')
+            await until(lambda: fixture.reasons)
+            return await read_to_end(stream)
+
+    received = anyio.run(scenario)
+    assert not received.endswith(b'0\r\n\r\n')
+    assert len(written) * len(part) > MAX_UNREAD_BYTES
+    assert fixture.reasons == [CloseReason.UNREAD]
+
+
+def test_a_caller_that_reads_nothing_after_its_response_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(held_bytes, '_UNREAD_CHECK_S', 0.01)
+    fixture = Fixture(BudgetLimits())
+    size = 16 * MIB
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        headers = [
+            (b'content-length', b'%d' % size),
+            (b'connection', b'close'),
+        ]
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': headers}
+        )
+        await send({'type': 'http.response.body', 'body': size * b'x'})
+
+    async def scenario() -> bytes:
+        async with connected(app, fixture.protocol) as stream:
+            await stream.send(b'GET / HTTP/1.1\r\n\r\n')
+            await until(lambda: fixture.reasons)
+            return await read_to_end(stream)
+
+    assert len(anyio.run(scenario)) < size
+    assert fixture.reasons == [CloseReason.UNREAD]
+
+
 def test_an_idle_connection_makes_room_for_a_new_one() -> None:
     fixture = Fixture()
 
