Bound the listeners for peers, tunnels and metrics, and the list of endpoints

Cause: any number of connections was accepted on these ports, each of which could announce a frame of 24 MiB. A list of endpoints could have 1,000 pages of 4 MiB, each read within 1 s.

Change: connections beyond a number are closed at once (peers 0.2 of the descriptors, tunnels 320, metrics 16). A list of endpoints has 24 MiB and 10 s in all. An instance of "acaciaramp serve" has 8,192 descriptors by default, which admits its default number of connections.

--- a/src/acaciaramp/metrics/server.py
+++ b/src/acaciaramp/metrics/server.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from acaciaramp.util.gate import ConnectionGate
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -18,6 +19,8 @@
 # Covers reading one request and sending the response; the connection is closed
 # after it.
 _SCRAPE_TIMEOUT_S = 2
+# Each scrape renders all metrics.
+_MAX_CONNECTIONS = 16
 
 
 async def serve_metrics(host: str, port: int, metrics: Metrics) -> None:
@@ -51,4 +54,5 @@
             with anyio.move_on_after(_SCRAPE_TIMEOUT_S):
                 await handle_scrape(stream, metrics)
 
-    await listener.serve(handle)
+    gate = ConnectionGate('metrics', _MAX_CONNECTIONS)
+    await listener.serve(gate.guard(handle))
--- a/src/acaciaramp/peering/framing.py
+++ b/src/acaciaramp/peering/framing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import struct
 from typing import TYPE_CHECKING
 
@@ -11,11 +12,18 @@
 from acaciaramp.errors import AcaciarampError
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from anyio.abc import ByteStream
 
 MAX_FRAME_BYTES = 25_165_824
+# Room for the large frames that are being received, without settings.
+DEFAULT_ROOM_BYTES = 2 * MAX_FRAME_BYTES
 # A peer that sends more of them than this does not speak the protocol.
 MAX_INVALID_FRAMES = 16
+# Frames up to this size never wait for room, so that heartbeats and requests
+# arrive while large frames are being received.
+_SMALL_FRAME_BYTES = 65_536
 _LENGTH_PREFIX = struct.Struct('>I')
 
 CONNECTION_ERRORS = (
@@ -36,18 +44,57 @@
     """The peer sent more than ``MAX_INVALID_FRAMES`` on one connection."""
 
 
+class FrameRoom:
+    """Limits the bytes of large frames that are being received at once."""
+
+    def __init__(self, most_bytes: int = DEFAULT_ROOM_BYTES) -> None:
+        """Create the room without frames.
+
+        Args:
+            most_bytes: Maximum size of all large frames together. A single
+                larger one is allowed.
+        """
+        self._most_bytes = most_bytes
+        self._held_bytes = 0
+        self._freed = anyio.Event()
+
+    @contextlib.asynccontextmanager
+    async def taken(self, size: int) -> AsyncIterator[None]:
+        """Wait until there is room for a frame, and take it meanwhile."""
+        if size <= _SMALL_FRAME_BYTES:
+            yield
+            return
+        while self._held_bytes and self._held_bytes + size > self._most_bytes:
+            await self._freed.wait()
+        self._held_bytes += size
+        try:
+            yield
+        finally:
+            self._free(size)
+
+    def _free(self, size: int) -> None:
+        self._held_bytes -= size
+        self._freed.set()
+        self._freed = anyio.Event()
+
+
 class FrameStream:
     """Sends and receives frames, each prefixed with its length.
 
     After any of ``CONNECTION_ERRORS`` the connection cannot be used any more.
     """
 
-    def __init__(self, stream: ByteStream) -> None:
+    def __init__(
+        self, stream: ByteStream, room: FrameRoom | None = None
+    ) -> None:
         """Wrap a connection.
 
         Args:
             stream: The connection; closed by ``aclose``.
+            room: Room for large frames that are received; None for one that
+                this connection has for itself.
         """
+        self._room = room or FrameRoom()
         self._stream = stream
         self._buffered = BufferedByteReceiveStream(stream)
         self._lock = anyio.Lock(fast_acquire=True)
@@ -83,7 +130,8 @@
             raise FrameTooLargeError(
                 f'frame of {length} bytes exceeds the limit'
             )
-        return await self._buffered.receive_exactly(length)
+        async with self._room.taken(length):
+            return await self._buffered.receive_exactly(length)
 
     async def aclose(self) -> None:
         """Close the connection without a closing handshake."""
--- a/src/acaciaramp/peering/server.py
+++ b/src/acaciaramp/peering/server.py
@@ -12,6 +12,9 @@
 from acaciaramp.metrics.names import Counter
 from acaciaramp.peering.framing import (
     CONNECTION_ERRORS,
+    DEFAULT_ROOM_BYTES,
+    MAX_FRAME_BYTES,
+    FrameRoom,
     FrameStream,
     FrameTooLargeError,
     InvalidFramesError,
@@ -25,6 +28,7 @@
     decode,
     encode,
 )
+from acaciaramp.util.gate import ConnectionGate
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
 
@@ -40,6 +44,8 @@
 # Connections without heartbeats are closed after this time. It also limits the TLS
 # handshake.
 IDLE_TIMEOUT_MS = 10_000
+# Each instance of a deployment opens a link or two, and again after a failure.
+_CONNECTIONS_FRACTION = 0.2
 Handler = Callable[[bytes], Awaitable[bytes]]
 Handlers = Mapping[Channel, Handler]
 
@@ -56,12 +62,42 @@
     port: int
 
 
+class PeerLimits(NamedTuple):
+    """Limits on what a process holds for its peers.
+
+    Attributes:
+        connections: Maximum number of open connections.
+        frame_bytes: Maximum size of all frames over 64 KiB that are being
+            received.
+    """
+
+    connections: int = 820
+    frame_bytes: int = DEFAULT_ROOM_BYTES
+
+    @classmethod
+    def of_machine(
+        cls, memory_bytes: float, max_descriptors: int
+    ) -> PeerLimits:
+        """Return the limits for a machine.
+
+        Args:
+            memory_bytes: Memory that may be used; at least one frame of the
+                largest size is admitted.
+            max_descriptors: Descriptors of the process.
+        """
+        return cls(
+            int(max_descriptors * _CONNECTIONS_FRACTION),
+            max(MAX_FRAME_BYTES, int(memory_bytes)),
+        )
+
+
 async def serve_peers(
     address: Address,
     handlers: Handlers,
     clock: Clock,
     metrics: Metrics,
     tls: TlsContexts | None = None,
+    limits: PeerLimits | None = None,
     *,
     task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -76,6 +112,7 @@
         clock: Clock for the idle timeout.
         metrics: Counts rejected frames and connections.
         tls: TLS contexts; None for unencrypted connections.
+        limits: Limits on connections and frames; None for the default.
         task_status: Started once the port is open.
     """
     listener = await anyio.create_tcp_listener(
@@ -83,8 +120,15 @@
     )
     async with listener, anyio.create_task_group() as tasks:
         task_status.started()
+        most = limits or PeerLimits()
+        gate = ConnectionGate('peers', most.connections)
         serve = functools.partial(
-            _serve_connection, handlers, clock, metrics, tasks
+            _serve_connection,
+            handlers,
+            clock,
+            metrics,
+            tasks,
+            FrameRoom(most.frame_bytes),
         )
 
         async def accept(plain: ByteStream) -> None:
@@ -92,7 +136,7 @@
             if stream is not None:
                 await serve(stream)
 
-        await listener.serve(accept)
+        await listener.serve(gate.guard(accept))
 
 
 async def _accept_tls(
@@ -122,10 +166,11 @@
     clock: Clock,
     metrics: Metrics,
     tasks: TaskGroup,
+    room: FrameRoom,
     stream: ByteStream,
 ) -> None:
     """Serve one connection until it is lost or idle for ``IDLE_TIMEOUT_MS``."""
-    frames = FrameStream(stream)
+    frames = FrameStream(stream, room)
     try:
         while True:
             with clock.timeout(IDLE_TIMEOUT_MS):
--- a/src/acaciaramp/platform/instances.py
+++ b/src/acaciaramp/platform/instances.py
@@ -31,6 +31,10 @@
 _MAX_DEPTH = 16
 # A list whose pages never end is not read any further.
 _MAX_PAGES = 1_000
+# A list of 12,000 endpoints, the most that the system is made for, takes 5 MB.
+_MAX_LIST_BYTES = 25_165_824
+# Pages of a list that is read for longer do not describe one moment.
+_LIST_TIMEOUT_MS = 10_000
 _MAX_PORT = 65_535
 _MAX_SLOTS = 1_000_000
 _MAX_VERSION_LENGTH = 256
@@ -89,14 +93,16 @@
     """
     client = HttpClient(clock)
 
-    async def read() -> tuple[Endpoint, ...]:
+    async def read_pages() -> tuple[Endpoint, ...]:
         endpoints: list[Endpoint] = []
         token = ''
+        left_bytes = _MAX_LIST_BYTES
         for _ in range(_MAX_PAGES):
             query = f'?pageToken={quote(token)}' if token else ''
-            page = await _read_page(
-                client, f'http://{address}/instances{query}'
+            page, size = await _read_page(
+                client, f'http://{address}/instances{query}', left_bytes
             )
+            left_bytes -= size
             endpoints.extend(decode_entries(page.instances, metrics))
             if not page.next:
                 return tuple(endpoints)
@@ -105,6 +111,15 @@
             ErrorCode.NO_ENDPOINT, f'the list has more than {_MAX_PAGES} pages'
         )
 
+    async def read() -> tuple[Endpoint, ...]:
+        try:
+            with clock.timeout(_LIST_TIMEOUT_MS):
+                return await read_pages()
+        except TimeoutError:
+            raise CallError(
+                ErrorCode.NO_ENDPOINT, 'the list was not read in time'
+            ) from None
+
     return read
 
 
@@ -124,13 +139,16 @@
     return endpoints
 
 
-async def _read_page(client: HttpClient, url: str) -> _Page:
+async def _read_page(
+    client: HttpClient, url: str, left_bytes: int
+) -> tuple[_Page, int]:
+    """Return a page and its size, which is at most ``left_bytes``."""
     req = HttpRequest(
         'GET',
         url,
         inactivity_ms=_RESPONSE_TIMEOUT_MS,
         total_ms=_RESPONSE_TIMEOUT_MS,
-        most_body_bytes=_MAX_PAGE_BYTES,
+        most_body_bytes=min(_MAX_PAGE_BYTES, left_bytes),
     )
     try:
         async with client.send(req) as response:
@@ -141,7 +159,7 @@
     if status != _OK:
         raise CallError(ErrorCode.NO_ENDPOINT, f'the list answers {status}')
     try:
-        return decode_limited(_page_decoder, body, _MAX_DEPTH)
+        return decode_limited(_page_decoder, body, _MAX_DEPTH), len(body)
     except _DECODE_ERRORS as exc:
         raise CallError(ErrorCode.NO_ENDPOINT, f'malformed: {exc}') from None
 
--- a/src/acaciaramp/roles/common.py
+++ b/src/acaciaramp/roles/common.py
@@ -13,9 +13,10 @@
 from acaciaramp.metrics.server import serve_metrics
 from acaciaramp.peering.link import LinkTiming
 from acaciaramp.peering.links import Links
-from acaciaramp.peering.server import Address, serve_peers
+from acaciaramp.peering.server import Address, PeerLimits, serve_peers
 from acaciaramp.replication.timing import Timing
 from acaciaramp.settings.node import split_address
+from acaciaramp.util.caller_budget import DEFAULT_MAX_DESCRIPTORS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -137,7 +138,13 @@
             handlers: Handler of each channel.
         """
         address = Address(self.cfg.host, self.cfg.inner_port)
-        await serve_peers(address, handlers, self.clock, self.metrics)
+        limits = PeerLimits.of_machine(
+            self.callers.limits.most_bytes,
+            self.cfg.max_descriptors or DEFAULT_MAX_DESCRIPTORS,
+        )
+        await serve_peers(
+            address, handlers, self.clock, self.metrics, limits=limits
+        )
 
 
 def inner_address(host: str, cfg: NodeSettings) -> InstanceId:
--- a/src/acaciaramp/settings/model.py
+++ b/src/acaciaramp/settings/model.py
@@ -10,12 +10,11 @@
 
 import pydantic
 
-from acaciaramp.util.caller_budget import (
-    DEFAULT_MAX_DESCRIPTORS,
-    DEFAULT_MEMORY_MB,
-)
+from acaciaramp.util.caller_budget import DEFAULT_MEMORY_MB
 from acaciaramp.util.validation import StrictModel
 
+# Admits the default number of connections of callers.
+_DEFAULT_DESCRIPTORS = 8_192
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 PositiveInt = Annotated[int, pydantic.Field(ge=1)]
 ResourceName = Annotated[
@@ -241,7 +240,7 @@
     links: Links = Links()
     statsd: Statsd | None = None
     memory_mb: PositiveInt = DEFAULT_MEMORY_MB
-    max_descriptors: PositiveInt = DEFAULT_MAX_DESCRIPTORS
+    max_descriptors: PositiveInt = _DEFAULT_DESCRIPTORS
 
     @pydantic.model_validator(mode='after')
     def _validate_combinations(self) -> Settings:
--- a/src/acaciaramp/tunnels/server.py
+++ b/src/acaciaramp/tunnels/server.py
@@ -23,6 +23,7 @@
     pack,
     read_request,
 )
+from acaciaramp.util.gate import ConnectionGate
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
 DIAL_TIMEOUT_MS = 400
 _REQUEST_TIMEOUT_MS = 1_000
 _MAX_TUNNELS = 256
+# Peers beyond the tunnels are told that there are too many.
+_MAX_CONNECTIONS = 320
 _READ_BYTES = 65_536
 _STREAM_ERRORS = (*NETWORK_ERRORS, *CONNECTION_ERRORS)
 _TUNNEL_ERRORS = (TunnelError, *CONNECTION_ERRORS)
@@ -102,7 +105,8 @@
             )
             return
         async with listener:
-            await listener.serve(self.serve_connection)
+            gate = ConnectionGate('tunnels', _MAX_CONNECTIONS)
+            await listener.serve(gate.guard(self.serve_connection))
 
     async def serve_connection(self, stream: SocketStream) -> None:
         """Serve the connection of a peer until either side closes it."""
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -9,6 +9,7 @@
 from acaciaramp.clock import SystemClock
 from acaciaramp.errors import CallError
 from acaciaramp.metrics.client import Metrics
+from acaciaramp.platform import instances
 from acaciaramp.platform.instances import decode_entries, make_reader
 from tests.forwarding.endpoint import (
     ReceivedRequest,
@@ -77,7 +78,19 @@
     assert 'i-2' in anyio.run(scenario)
 
 
-def test_list_whose_pages_never_end_is_an_error() -> None:
+# Guards against pages that are each within their limit, but never end.
+@pytest.mark.parametrize(
+    ('name', 'limit', 'reason'),
+    [
+        ('_MAX_PAGES', 1_000, 'pages'),
+        ('_MAX_LIST_BYTES', 1_000, 'more than'),
+        ('_LIST_TIMEOUT_MS', 10, 'time'),
+    ],
+)
+def test_list_whose_pages_never_end_is_an_error(
+    monkeypatch: pytest.MonkeyPatch, name: str, limit: int, reason: str
+) -> None:
+    monkeypatch.setattr(instances, name, limit)
     page = b'{"instances":[],"next":"again"}'
 
     def next_page(request: ReceivedRequest) -> list[bytes | None]:
@@ -87,7 +100,7 @@
         async with ScriptedEndpoint(next_page).serving() as endpoint:
             address = f'{endpoint.host}:{endpoint.port}'
             read = make_reader(address, SystemClock(), Metrics())
-            with pytest.raises(CallError, match='pages'):
+            with pytest.raises(CallError, match=reason):
                 await read()
 
     anyio.run(scenario)
