Store turns that are bound to home regions in a ledger of the region

Cause: the ledger is one log over the storage instances of all regions, so that the body of a bound turn was stored in other regions.

Change: a region that the routing table names as a home region gets a ledger of its own, replicated on its storage instances with the same state machine. The control leader chooses its first replica by a new command, publishes it in the view (new field with a default), and an entry stores and finds bound turns there. Budgets and origins of streams, whose messages carry no body, stay in the ledger of all regions, so that a budget is exact over bound and unbound turns. Without home regions no message and no file of the ledger changes. The command is not proposed while a control instance of an earlier build reports, which could not apply it. Chains are not cached at entries outside the regions.

The table of tests/coordination/test_leader.py names a home region in one version, which only the new tests use.

Measured: tests/conversations, tests/coordination, tests/roles, tests/platform, tests/forwarding, tests/tunnels and tests/settings pass.

--- a/src/acaciaramp/conversations/client.py
+++ b/src/acaciaramp/conversations/client.py
@@ -11,6 +11,7 @@
 from acaciaramp.conversations.messages import (
     CloseReply,
     CloseTurn,
+    HomeRequest,
     LedgerReply,
     LedgerRequest,
     OpenReply,
@@ -58,6 +59,7 @@
         links: Links,
         storages: Callable[[], Sequence[InstanceId]],
         clock: Clock,
+        region: str | None = None,
     ) -> None:
         """Create the client.
 
@@ -65,10 +67,12 @@
             links: Links to other instances.
             storages: Returns the storage instances that may lead the ledger.
             clock: Clock for timeouts.
+            region: Region of the ledger; None for the ledger of all regions.
         """
         self._links = links
         self._storages = storages
         self._clock = clock
+        self._region = region
         self._leader: InstanceId | None = None
         # Counts the leaders that were lost: of many requests that fail at one
         # leader only the first starts a search.
@@ -112,6 +116,8 @@
     async def _request(self, req: LedgerRequest, wait_ms: int) -> LedgerReply:
         deadline_ms = self._clock.now_ms() + wait_ms
         body = _encode(req)
+        if self._region is not None:
+            body = _encode(HomeRequest(self._region, body))
         timeout_ms = _ATTEMPT_TIMEOUT_MS
         pause_ms = _SEARCH_PAUSE_MS
         last_error = CallError(
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -201,5 +201,17 @@
     body: msgs.Reply
 
 
-LedgerRequest = OpenTurn | CloseTurn | LedgerMessage
+class HomeRequest(msgspec.Struct, frozen=True, tag=True):
+    """Envelope of a request to the ledger of one region.
+
+    Attributes:
+        region: The region; an instance of another one refuses the request.
+        body: The encoded request.
+    """
+
+    region: str
+    body: bytes
+
+
+LedgerRequest = OpenTurn | CloseTurn | LedgerMessage | HomeRequest
 LedgerReply = OpenReply | CloseReply | LedgerMessageReply
--- a/src/acaciaramp/conversations/replica.py
+++ b/src/acaciaramp/conversations/replica.py
@@ -9,6 +9,7 @@
 from acaciaramp.conversations.messages import (
     CloseReply,
     CloseTurn,
+    HomeRequest,
     LedgerMessage,
     LedgerMessageReply,
     LedgerReply,
@@ -24,6 +25,8 @@
 from acaciaramp.replication.errors import PeerError
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from acaciaramp.ids import InstanceId
     from acaciaramp.metrics.client import Metrics
     from acaciaramp.peering.links import Links
@@ -31,6 +34,8 @@
     from acaciaramp.replication.group import Group
     from acaciaramp.replication.requests import Send
 
+    HandleHome = Callable[[HomeRequest], Awaitable[bytes]]
+
 _encode = msgspec.msgpack.Encoder().encode
 _request_decoder = msgspec.msgpack.Decoder(LedgerRequest)
 _reply_decoder = msgspec.msgpack.Decoder(LedgerReply)
@@ -44,15 +49,22 @@
         group: The local replica and its replication group.
     """
 
-    def __init__(self, group: Group, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        group: Group,
+        metrics: Metrics,
+        handle_home: HandleHome | None = None,
+    ) -> None:
         """Create the handler on top of a replica.
 
         Args:
             group: The local replica and its replication group.
             metrics: Counts the outcomes of opened turns.
+            handle_home: Handles requests to the ledger of the region here.
         """
         self.group = group
         self._metrics = metrics
+        self._handle_home = handle_home
 
     async def handle_encoded(self, wire: bytes) -> bytes:
         """Handle an encoded request and return the encoded reply.
@@ -66,9 +78,15 @@
             raise CallError(
                 ErrorCode.BAD_REQUEST, f'malformed: {exc}'
             ) from None
-        return _encode(await self.handle(req))
-
-    async def handle(self, req: LedgerRequest) -> LedgerReply:
+        if not isinstance(req, HomeRequest):
+            return _encode(await self.handle(req))
+        if self._handle_home is None:
+            raise CallError(ErrorCode.BAD_REQUEST, 'no ledger of a region')
+        return await self._handle_home(req)
+
+    async def handle(
+        self, req: OpenTurn | CloseTurn | LedgerMessage
+    ) -> LedgerReply:
         """Handle a request of an entry instance or of another replica.
 
         Raises:
@@ -103,12 +121,20 @@
         return reply
 
 
-def make_sender(links: Links) -> Send:
-    """Return a function that sends replication requests over links."""
+def make_sender(links: Links, region: str | None = None) -> Send:
+    """Return a function that sends replication requests over links.
+
+    Args:
+        links: Links to other instances.
+        region: Region whose ledger the replicas belong to; None for the ledger
+            of all regions.
+    """
 
     async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
         link = links.get(target)
         body = _encode(LedgerMessage(req))
+        if region is not None:
+            body = _encode(HomeRequest(region, body))
         try:
             wire = await link.request(Channel.LEDGER, body, _PEER_TIMEOUT_MS)
             reply = decode_reply(_reply_decoder, wire)
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -27,6 +27,7 @@
     from acaciaramp.clock import Clock
     from acaciaramp.conversations.cache import ChainCache
     from acaciaramp.conversations.client import LedgerClient
+    from acaciaramp.conversations.homes import HomeLedgers
 
 logger = get_logger('conversations')
 
@@ -39,6 +40,9 @@
 # A retained turn is committed before the end of its response is sent; this
 # limits the delay. The ledger elects a new leader within this time.
 _COMMIT_TIMEOUT_MS = 3_000
+# Longest wait for the ledger of a home region: a region that is cut off is not
+# awaited, and its ledger elects a new leader within about a second.
+_HOME_TIMEOUT_MS = 1_500
 # The ledger elects a new leader within about a second.
 LEDGER_RETRY_AFTER_MS = 500
 
@@ -58,6 +62,7 @@
             be resumed or is not known yet.
         resumes: Request id of the turn whose stream it resumes, if any.
         timeout_ms: Time limit of the request, milliseconds.
+        regions: Regions in which it may be stored; None for all.
     """
 
     key: TurnKey
@@ -70,6 +75,7 @@
     origin: StreamOrigin | None = None
     resumes: str | None = None
     timeout_ms: int = 0
+    regions: frozenset[str] | None = None
 
     @property
     def needs_ledger(self) -> bool:
@@ -111,6 +117,20 @@
     endpoint: str = ''
 
 
+class BoundTurn(msgspec.Struct, frozen=True):
+    """Where a turn that is bound to home regions is stored.
+
+    Attributes:
+        region: Region whose ledger stores it; empty if it is not retained.
+        previous: Request id of the turn before it in that ledger. None if there
+            is none, or it is in another ledger, so that the stored content
+            begins with the whole chain.
+    """
+
+    region: str
+    previous: str | None
+
+
 class OpenedTurn:
     """A turn that may be sent to an endpoint.
 
@@ -121,6 +141,7 @@
         endpoint: Endpoint that ran the program's last turn; empty if unknown.
         origin: Origin of the stream, of the resumed one if it resumes one; None
             if none is recorded.
+        home: Where it is stored if it is bound to home regions.
     """
 
     def __init__(
@@ -138,6 +159,7 @@
         self.is_new = is_new
         self.endpoint = endpoint
         self.origin = origin
+        self.home: BoundTurn | None = None
         self._origins = 0 if origin is None else 1
 
     def next_origin_number(self) -> int:
@@ -160,6 +182,7 @@
         cache: ChainCache,
         clock: Clock,
         tasks: TaskGroup,
+        homes: HomeLedgers | None = None,
     ) -> None:
         """Create the manager.
 
@@ -168,11 +191,13 @@
             cache: Cache of chains.
             clock: Source of time.
             tasks: Task group in which turns are settled in the background.
+            homes: Ledgers of single regions; None if there are none.
         """
         self._ledger = ledger
         self._cache = cache
         self._clock = clock
         self._tasks = tasks
+        self._homes = homes
         self._pending_settlements = 0
 
     @property
@@ -192,6 +217,8 @@
                 stored, the turn has ended before, or the ledger did not reply
                 in time.
         """
+        if self._homes is not None and self._homes.binds(plan.regions):
+            return await self._open_bound(plan, wait_ms, self._homes)
         if not plan.needs_ledger:
             return OpenedTurn(plan, b'', is_new=True)
         cached = self._cached_chain(plan)
@@ -266,6 +293,9 @@
             CallError: The ledger did not reply in time, or the turn that this
                 one continues has expired.
         """
+        if turn.home is not None:
+            await self._commit_bound(turn, turn.home, result)
+            return
         plan = turn.plan
         content = plan.content + result.output
         now_ms = self._clock.wall_ms()
@@ -314,6 +344,119 @@
         """Release the reservation of a turn that no endpoint has run."""
         self.settle(plan, 0)
 
+    async def _open_bound(
+        self, plan: TurnPlan, wait_ms: int, homes: HomeLedgers
+    ) -> OpenedTurn:
+        """Open a turn whose content may be stored in some regions only.
+
+        Raises:
+            CallError: As ``open``, or no ledger of these regions exists.
+        """
+        usable = homes.usable(plan.regions or frozenset())
+        if not usable and (plan.retention_ms or plan.previous is not None):
+            raise CallError(
+                ErrorCode.HOME_REGION_UNAVAILABLE,
+                'no ledger of the home regions is known',
+                retry_after_ms=LEDGER_RETRY_AFTER_MS,
+            )
+        home_region = usable[0] if usable and plan.retention_ms else ''
+        chain = b''
+        previous: str | None = None
+        if plan.previous is not None:
+            found_in, chain = await self._find_chain(
+                plan, min(wait_ms, _HOME_TIMEOUT_MS), usable
+            )
+            previous = plan.previous if found_in == home_region else None
+        # The ledger of all regions gets neither the content nor the chain.
+        opened = await self.open(
+            msgspec.structs.replace(
+                plan, previous=None, content=b'', regions=None
+            ),
+            wait_ms,
+        )
+        turn = OpenedTurn(
+            plan,
+            chain,
+            is_new=opened.is_new and plan.previous is None,
+            endpoint=opened.endpoint,
+            origin=opened.origin,
+        )
+        turn.home = BoundTurn(home_region, previous)
+        return turn
+
+    async def _find_chain(
+        self, plan: TurnPlan, wait_ms: int, usable: list[str]
+    ) -> tuple[str | None, bytes]:
+        """Return the region of the ledger that has a chain, and the chain.
+
+        A turn that was stored before its route or workspace was bound, or under
+        other home regions, is found in another ledger than later ones; the region
+        is None for the ledger of all regions.
+
+        Raises:
+            CallError: No ledger has the chain, or one of them does not reply.
+        """
+        assert self._homes is not None
+        cached = self._cached_chain(plan)
+        req = OpenTurn(
+            turn=plan.key,
+            previous=plan.previous,
+            has_chain=cached is not None,
+            at_ms=self._clock.wall_ms(),
+            lasts_ms=plan.timeout_ms + _COMMIT_TIMEOUT_MS,
+        )
+        for region in (*usable, None):
+            client = self._ledger
+            if region is not None:
+                client = self._homes.client(region)
+            try:
+                reply = await client.open_turn(req, wait_ms)
+            except CallError as exc:
+                raise CallError(
+                    ErrorCode.HOME_REGION_UNAVAILABLE,
+                    f'the ledger of the home region does not answer: {exc}',
+                    retry_after_ms=LEDGER_RETRY_AFTER_MS,
+                ) from None
+            if reply.outcome is OpenOutcome.OPENED:
+                return region, reply.chain if cached is None else cached
+        raise _refusal(plan, reply)
+
+    async def _commit_bound(
+        self, turn: OpenedTurn, home: BoundTurn, result: TurnResult
+    ) -> None:
+        """Store a complete turn in its region, then settle its tokens.
+
+        Raises:
+            CallError: The region's ledger did not reply in time, or the turn
+                that this one continues has expired.
+        """
+        assert self._homes is not None
+        plan = turn.plan
+        now_ms = self._clock.wall_ms()
+        whole = turn.chain + plan.content + result.output
+        content = whole
+        if home.previous is not None:
+            content = plan.content + result.output
+        req = CloseTurn(
+            turn=plan.key,
+            kept=RetainedTurn(
+                previous=home.previous,
+                content=content,
+                until_ms=now_ms + plan.retention_ms,
+            ),
+            at_ms=now_ms,
+        )
+        client = self._homes.client(home.region)
+        reply = await client.close_turn(req, _COMMIT_TIMEOUT_MS)
+        if not reply.is_stored:
+            raise CallError(
+                ErrorCode.UNKNOWN_STEP,
+                f'the turn "{plan.previous}" that it continues has expired',
+            )
+        self.settle(plan, result.tokens, result.endpoint)
+        if self._homes.may_cache(plan.regions):
+            self._cache.put(plan.key, whole)
+
     async def _settle(self, req: CloseTurn) -> None:
         try:
             await self._ledger.close_turn(req, _SETTLE_TIMEOUT_MS)
--- a/src/acaciaramp/coordination/directory.py
+++ b/src/acaciaramp/coordination/directory.py
@@ -31,6 +31,8 @@
         self._nodes: dict[str, Node] = {}
         self._last_contact_ms: dict[str, int] = {}
         self._ledger_statuses: dict[str, LedgerReplicaStatus] = {}
+        self._home_statuses: dict[str, LedgerReplicaStatus] = {}
+        self._commands: dict[str, int] = {}
 
     def record_report(self, report: FollowRequest) -> bool:
         """Record the report of an instance.
@@ -44,6 +46,9 @@
         self._last_contact_ms[instance] = self._clock.now_ms()
         if report.ledger is not None:
             self._ledger_statuses[instance] = report.ledger
+        if report.home_ledger is not None:
+            self._home_statuses[instance] = report.home_ledger
+        self._commands[instance] = report.commands
         return is_new
 
     def remove_expired(self) -> list[Node]:
@@ -64,6 +69,8 @@
         self._nodes.clear()
         self._last_contact_ms.clear()
         self._ledger_statuses.clear()
+        self._home_statuses.clear()
+        self._commands.clear()
 
     def nodes_with_role(self, role: RoleName) -> tuple[Node, ...]:
         """Return the instances of a role, sorted by address."""
@@ -94,7 +101,36 @@
         ]
         return leaders[0].voters if leaders else None
 
+    def home_status(self, instance: str) -> LedgerReplicaStatus | None:
+        """Return the last reported status of a replica of a region's ledger.
+
+        None if the instance reported none.
+        """
+        return self._home_statuses.get(instance)
+
+    def home_voters(self, region: str) -> tuple[InstanceId, ...]:
+        """Return the voters of a region's ledger as its leader reports them.
+
+        Empty if no instance reports that it leads it.
+        """
+        for instance, status in self._home_statuses.items():
+            if status.is_leader and self._nodes[instance].region == region:
+                return status.voters
+        return ()
+
+    def lowest_commands(self, role: RoleName) -> int | None:
+        """Return the lowest generation of commands that a role can apply.
+
+        None if no instance of the role has reported.
+        """
+        nodes = self.nodes_with_role(role)
+        return min(
+            (self._commands[node.instance] for node in nodes), default=None
+        )
+
     def _remove(self, instance: str) -> Node:
         self._last_contact_ms.pop(instance)
         self._ledger_statuses.pop(instance, None)
+        self._home_statuses.pop(instance, None)
+        self._commands.pop(instance, None)
         return self._nodes.pop(instance)
--- a/src/acaciaramp/coordination/follower.py
+++ b/src/acaciaramp/coordination/follower.py
@@ -11,6 +11,7 @@
     unpack_view,
 )
 from acaciaramp.coordination.messages import (
+    COMMANDS_GENERATION,
     NO_TABLE,
     ControlReply,
     ControlRequest,
@@ -76,6 +77,7 @@
         on_table: Callable[[bytes], None] | None,
         on_view: Callable[[View], None],
         ledger_status: Callable[[], LedgerReplicaStatus | None],
+        home_status: Callable[[], LedgerReplicaStatus | None] | None = None,
     ) -> None:
         """Create the follower; ``run`` starts it.
 
@@ -90,6 +92,8 @@
             on_view: Called with each newer view.
             ledger_status: Returns the status of the ledger replica here, to be
                 sent with each report.
+            home_status: Returns the status of the replica of the region's
+                ledger here, if any.
         """
         self.view = View()
         self.table = HeldTable()
@@ -101,6 +105,7 @@
         self._on_table = on_table
         self._on_view = on_view
         self._ledger_status = ledger_status
+        self._home_status = home_status
         self._number = ViewNumber()
         self._leader: InstanceId | None = None
         self._timeouts = 0
@@ -114,6 +119,8 @@
                 version=self._table_version(),
                 number=self._number,
                 ledger=self._ledger_status(),
+                home_ledger=self._home_status and self._home_status(),
+                commands=COMMANDS_GENERATION,
             )
             target = self._next_target()
             try:
--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -8,8 +8,11 @@
 import msgspec
 
 from acaciaramp.coordination.codec import encode, pack_view
+from acaciaramp.coordination.home_seeds import seed_home_ledgers
+from acaciaramp.coordination.homes import list_home_ledgers
 from acaciaramp.coordination.locality import order_as_replicas
 from acaciaramp.coordination.messages import (
+    Command,
     ControlReply,
     ControlRequest,
     CrashReport,
@@ -25,14 +28,12 @@
     ReadState,
     ReplicaMessage,
     ReplicaMessageReply,
-    Retire,
     RetireOrder,
     ReturnToken,
     SeedLedger,
     SlotReply,
     SlotRequest,
     StateReply,
-    StoreRates,
     StoreTable,
     View,
     ViewNumber,
@@ -315,7 +316,7 @@
 
     async def _propose(
         self,
-        command: StoreTable | ReadState | SeedLedger | Retire | StoreRates,
+        command: Command,
     ) -> StateReply:
         reply = await self._group.propose_for_caller(encode(command))
         if not isinstance(reply, StateReply):
@@ -347,11 +348,17 @@
                 name=node.name,
             )
         self._refresh_view()
-        if (
-            self._group.is_serving
-            and self._state_machine.state.ledger_seed is None
-        ):
+        if not self._group.is_serving:
+            return
+        if self._state_machine.state.ledger_seed is None:
             await self._seed_ledger()
+        await seed_home_ledgers(
+            self._view.home_ledgers,
+            self._directory,
+            self._target_voters // 2,
+            self._propose,
+            is_settled=self._leading_for_ms() > _SEED_WAIT_MS,
+        )
 
     async def _seed_ledger(self) -> None:
         """Choose the replica that bootstraps the ledger, if enough report.
@@ -391,17 +398,24 @@
             return
         state = self._state_machine.state
         entries = self._directory.nodes_with_role(RoleName.ENTRY)
+        storages = self._ordered_storages()
         view = View(
             controls=self._instances_with_role(RoleName.CONTROL),
             entries=tuple(node.instance for node in entries),
             entry_zones=tuple(node.availability_zone for node in entries),
-            storages=self._ordered_storages(),
+            storages=storages,
             ledger_voters=self._update_ledger_voters(),
             ledger_seed=state.ledger_seed,
             retiring=tuple(node.instance for node in state.retiring.values()),
             endpoints=self._endpoints,
             quarantined=self._quarantine.active_digests(),
             is_settled=self._leading_for_ms() > _SETTLE_MS,
+            home_ledgers=list_home_ledgers(
+                self._rates.home_regions,
+                state.home_seeds,
+                self._directory,
+                storages,
+            ),
         )
         if view != self._view or self._number.count == 0:
             self._view = view
--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from acaciaramp.coordination.homes import HomeLedger, HomeSeed
 from acaciaramp.ids import (
     AvailabilityZone,
     EndpointId,
@@ -84,6 +85,8 @@
         quarantined: Digests of requests that must not be sent to endpoints.
         is_settled: Whether the leader has led long enough for every live
             instance to have reported to it.
+        home_ledgers: Ledgers of single regions; empty unless the routing table
+            has ever named home regions.
     """
 
     controls: tuple[InstanceId, ...] = ()
@@ -96,6 +99,7 @@
     endpoints: tuple[Endpoint, ...] | None = None
     quarantined: tuple[str, ...] = ()
     is_settled: bool = False
+    home_ledgers: tuple[HomeLedger, ...] = ()
 
 
 class LedgerReplicaStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -124,6 +128,9 @@
     count: int = 0
 
 
+# Generation of the replicated commands. Builds of generation 0 cannot apply
+# SeedHomeLedger.
+COMMANDS_GENERATION = 1
 # Version of instances that need no routing table.
 NO_TABLE = sys.maxsize
 
@@ -137,12 +144,16 @@
             ``NO_TABLE`` if it needs none.
         number: Number of the view that it has.
         ledger: Status of its ledger replica; None if it has none.
+        home_ledger: Status of its replica of the region's ledger, if any.
+        commands: Generation of the replicated commands that it can apply.
     """
 
     node: Node
     version: int = 0
     number: ViewNumber = ViewNumber()
     ledger: LedgerReplicaStatus | None = None
+    home_ledger: LedgerReplicaStatus | None = None
+    commands: int = 0
 
 
 class FollowReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -301,6 +312,20 @@
     member: Member
 
 
+class SeedHomeLedger(msgspec.Struct, frozen=True, tag=True):
+    """Command: chooses the replica that bootstraps the ledger of a region.
+
+    Only the first such command for a region has an effect.
+
+    Attributes:
+        region: The region.
+        seed: The replica and the number of disks that may be lost.
+    """
+
+    region: str
+    seed: HomeSeed
+
+
 class Retire(msgspec.Struct, frozen=True, tag=True):
     """Command: marks a storage instance for retirement.
 
@@ -407,7 +432,9 @@
     name: str
 
 
-Command = StoreTable | SeedLedger | Retire | ReadState | StoreRates
+Command = (
+    StoreTable | SeedLedger | Retire | ReadState | StoreRates | SeedHomeLedger
+)
 ControlRequest = (
     FollowRequest
     | GrantRequest
--- a/src/acaciaramp/coordination/rates.py
+++ b/src/acaciaramp/coordination/rates.py
@@ -40,6 +40,7 @@
 
     Attributes:
         entries: Number of entry instances that share the rates.
+        home_regions: Home regions that the newest routing table names.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
             window_ms: Window over which rates are limited, milliseconds.
         """
         self.entries = 0
+        self.home_regions: tuple[str, ...] = ()
         self._state = state
         self._clock = clock
         self._decode_table = decode_table
@@ -143,3 +145,4 @@
             self._configured_for = wanted
             table = self._decode_table(unpack_table(state.body))
             self._pools.configure(table.workspaces, self.entries)
+            self.home_regions = table.home_regions
--- a/src/acaciaramp/coordination/retiring.py
+++ b/src/acaciaramp/coordination/retiring.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from acaciaramp.coordination.homes import is_needed_at_home
 from acaciaramp.coordination.messages import OrderOutcome, Retire
 from acaciaramp.settings.node import RoleName
 
@@ -39,7 +40,9 @@
         for other in directory.nodes_with_role(RoleName.STORAGE)
         if other.name not in retiring
     ]
-    if len(remaining) < target_voters:
+    if len(remaining) < target_voters or is_needed_at_home(
+        node, state.home_seeds, directory, state.retiring
+    ):
         return OrderOutcome.REFUSED, None
     return OrderOutcome.DONE, Retire(node)
 
@@ -64,5 +67,6 @@
     voters = directory.ledger_voters()
     if voters is None or len(voters) < target_voters:
         return OrderOutcome.RUNNING
-    is_removed = node.instance not in voters
+    home_voters = directory.home_voters(node.region)
+    is_removed = node.instance not in {*voters, *home_voters}
     return OrderOutcome.DONE if is_removed else OrderOutcome.RUNNING
--- a/src/acaciaramp/coordination/state_machine.py
+++ b/src/acaciaramp/coordination/state_machine.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
+from acaciaramp.coordination.homes import HomeSeed
 from acaciaramp.coordination.messages import (
     Command,
     Node,
     RateCheckpoint,
     ReadState,
     Retire,
+    SeedHomeLedger,
     SeedLedger,
     StateReply,
     StoreRates,
@@ -35,6 +37,7 @@
         ledger_seed: The replica that bootstraps the ledger.
         retiring: Storage instances to retire, by name.
         rates: Newest checkpoints of the shared rates, by workspace.
+        home_seeds: How the ledgers of single regions were bootstrapped.
     """
 
     version: int = 0
@@ -42,6 +45,7 @@
     ledger_seed: Member | None = None
     retiring: dict[str, Node] = msgspec.field(default_factory=dict)
     rates: dict[str, RateCheckpoint] = msgspec.field(default_factory=dict)
+    home_seeds: dict[str, HomeSeed] = msgspec.field(default_factory=dict)
 
 
 _state_decoder = msgspec.msgpack.Decoder(ControlState)
@@ -92,6 +96,8 @@
                     state.body = body
             case SeedLedger(member=member):
                 state.ledger_seed = state.ledger_seed or member
+            case SeedHomeLedger(region=region, seed=seed):
+                state.home_seeds.setdefault(region, seed)
             case Retire(node=node):
                 state.retiring[node.name] = node
             case StoreRates(levels=checkpoints):
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -201,4 +201,5 @@
         origin=call.expected_origin,
         resumes=call.inbound.resumed if call.resumes_stream else None,
         timeout_ms=call.deadline_ms - call.inbound.started_ms,
+        regions=call.allowed_regions,
     )
--- a/src/acaciaramp/roles/common.py
+++ b/src/acaciaramp/roles/common.py
@@ -98,6 +98,7 @@
         on_table: Callable[[bytes], None] | None,
         on_view: Callable[[View], None],
         ledger_status: Callable[[], LedgerReplicaStatus | None],
+        home_status: Callable[[], LedgerReplicaStatus | None] | None = None,
     ) -> Follower:
         """Create the follower of the control group.
 
@@ -107,6 +108,8 @@
             on_view: Called with each newer view.
             ledger_status: Returns the status of the ledger replica here; None
                 if there is none.
+            home_status: Returns the status of the replica of the region's
+                ledger here, if any.
         """
         return Follower(
             self.node,
@@ -116,6 +119,7 @@
             on_table,
             on_view,
             ledger_status,
+            home_status,
         )
 
     async def serve_metrics(self) -> None:
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -7,6 +7,7 @@
 
 from acaciaramp.conversations.cache import ChainCache
 from acaciaramp.conversations.client import LedgerClient
+from acaciaramp.conversations.homes import HomeLedgers
 from acaciaramp.conversations.turns import TurnManager
 from acaciaramp.coordination.grants import GRANT_LIFETIME_MS, local_share
 from acaciaramp.coordination.messages import (
@@ -114,7 +115,17 @@
             context.links, self._ledger_instances, context.clock
         )
         self._turns = TurnManager(
-            ledger, ChainCache(), context.clock, context.tasks
+            ledger,
+            ChainCache(),
+            context.clock,
+            context.tasks,
+            HomeLedgers(
+                context.links,
+                lambda: self._follower.view.home_ledgers,
+                context.clock,
+                cfg.region,
+                cfg.regions.values(),
+            ),
         )
         lifecycle = TurnLifecycle(self._turns, context.clock, context.metrics)
         chooser = EndpointChooser(
--- a/src/acaciaramp/roles/storage.py
+++ b/src/acaciaramp/roles/storage.py
@@ -11,6 +11,7 @@
 from acaciaramp.replication.group import Group
 from acaciaramp.replication.members import Member
 from acaciaramp.roles.common import LOG_TIMING
+from acaciaramp.roles.home_storage import HomeStorage
 from acaciaramp.storage.store import DiskStore
 from acaciaramp.util.logs import get_logger
 
@@ -46,9 +47,12 @@
             eligible=lambda: self._follower.view.storages,
             retiring=lambda: self._follower.view.retiring,
         )
-        self._replica = LedgerReplica(self._group, context.metrics)
+        self._home = HomeStorage(context)
+        self._replica = LedgerReplica(
+            self._group, context.metrics, self._home.handle
+        )
         self._follower = context.make_follower(
-            None, self._on_view, self._replica.status
+            None, self._on_view, self._replica.status, self._home.status
         )
 
     async def run(self, stop: anyio.Event) -> None:
@@ -65,6 +69,7 @@
             'Stopping; transferring leadership if this replica leads.',
             leads=self._group.replica.is_ready,
         )
+        await self._home.transfer_leadership()
         await self._group.replica.transfer_leadership()
 
     def _on_view(self, view: View) -> None:
@@ -75,3 +80,4 @@
         is_seed = view.ledger_seed == self._group.me
         if is_seed and self._group.replica.log.last_index == 0:
             self._group.bootstrap()
+        self._home.on_view(view)
--- a/tests/coordination/test_leader.py
+++ b/tests/coordination/test_leader.py
@@ -14,6 +14,7 @@
 from acaciaramp.coordination.directory import Directory
 from acaciaramp.coordination.leader import Coordinator
 from acaciaramp.coordination.messages import (
+    COMMANDS_GENERATION,
     Endpoint,
     FollowReply,
     FollowRequest,
@@ -49,6 +50,8 @@
 
     from acaciaramp.replication import messages as msgs
 
+# The table of this version names a home region.
+HOME_VERSION = 100
 ENTRY = build.node('e-1', RoleName.ENTRY)
 TIMING = Timing(
     heartbeat_ms=10,
@@ -166,7 +169,12 @@
     version = msgspec.json.decode(body, type=int | dict[str, Any])
     if isinstance(version, dict):
         version = version['version']
-    return build.routing_table(version=version, workspaces=(POLICY,))
+    regions = ('east',) if version == HOME_VERSION else ()
+    return build.routing_table(
+        build.route(home_regions=regions),
+        version=version,
+        workspaces=(POLICY,),
+    )
 
 
 def test_leader_without_a_table_publishes_a_view() -> None:
@@ -377,3 +385,71 @@
         assert 300 * len(reply.view) < 75_000_000 / 8
 
     run_with_leader(scenario)
+
+
+def home_report(name: str, voters: tuple[str, ...] = ()) -> FollowRequest:
+    status = LedgerReplicaStatus(
+        replica=Member(InstanceId(name), '1'),
+        is_leader=bool(voters),
+        voters=tuple(map(InstanceId, voters)),
+    )
+    return FollowRequest(
+        node=build.node(name), version=1_000, home_ledger=status
+    )
+
+
+async def seed_home_ledger(control: ControlInstance, commands: int) -> View:
+    """Report as a control instance and three storage instances; return a view."""
+    await control.coordinator.handle(StoreTable(HOME_VERSION, b'100'))
+    await control.coordinator.handle(
+        FollowRequest(
+            node=build.node('c-1', RoleName.CONTROL), commands=commands
+        )
+    )
+    for name in ('s-1', 's-2', 's-3'):
+        await control.coordinator.handle(home_report(name))
+    await anyio.sleep(0.7)
+    return view_of(await control.report(ENTRY))
+
+
+def test_ledger_of_a_named_home_region_is_seeded_and_published() -> None:
+    async def scenario(control: ControlInstance) -> None:
+        view = await seed_home_ledger(control, COMMANDS_GENERATION)
+        home = view.home_ledgers[0]
+        assert (home.region, len(home.storages)) == ('east', 3)
+        assert home.seed is not None
+        assert home.seed.tolerated_losses == 1
+        await control.coordinator.handle(home_report('s-1', ('s-1', 's-2')))
+        view = view_of(await control.report(ENTRY))
+        assert view.home_ledgers[0].voters == ('s-1', 's-2')
+        # The ledger goes on if a later table names no home region.
+        await control.coordinator.handle(StoreTable(101, b'101'))
+        await anyio.sleep(0.3)
+        assert not control.coordinator._rates.home_regions
+        assert view_of(await control.report(ENTRY)).home_ledgers
+
+    run_with_leader(scenario)
+
+
+def test_control_instance_of_an_earlier_build_gets_no_new_command() -> None:
+    # It could not apply the command and would end.
+    async def scenario(control: ControlInstance) -> None:
+        view = await seed_home_ledger(control, 0)
+        assert view.home_ledgers[0].seed is None
+
+    run_with_leader(scenario)
+
+
+def test_storage_instance_that_its_region_needs_is_not_retired() -> None:
+    async def scenario(control: ControlInstance) -> None:
+        await seed_home_ledger(control, COMMANDS_GENERATION)
+        await control.report(
+            msgspec.structs.replace(build.node('s-4'), region='w')
+        )
+        control.coordinator._leader_since_ms = -10_000
+        outcome = await control.order(RetireOrder('machine-s-1'))
+        assert outcome is OrderOutcome.REFUSED
+        outcome = await control.order(RetireOrder('machine-s-4'))
+        assert outcome is OrderOutcome.DONE
+
+    run_with_leader(scenario)
