Obey operators' orders to evacuate an availability zone

Cause: there was no way to keep requests from the endpoints of a zone that is about to be shut down.

Change: POST /v1/evacuations/ZONE/begin and .../finish commit a new command of the control group's log and are acknowledged then. A request that no other zone can serve is refused at once with 503 and Retry-After. Checks of the reach still dial these endpoints, peers get no tunnel to them. An entry that loses the leader keeps the last state. The order is refused while a control instance of an earlier build reports, which could not apply the command.

Measured: tests/coordination, tests/platform, tests/forwarding and tests/roles pass.

--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from acaciaramp.coordination.codec import encode, pack_view
+from acaciaramp.coordination.evacuations import check_evacuation
 from acaciaramp.coordination.home_seeds import seed_home_ledgers
 from acaciaramp.coordination.homes import list_home_ledgers
 from acaciaramp.coordination.locality import order_as_replicas
@@ -18,6 +19,7 @@
     CrashReport,
     Done,
     Endpoint,
+    Evacuate,
     FollowReply,
     FollowRequest,
     GrantReply,
@@ -200,7 +202,7 @@
             case CrashReport():
                 self._quarantine.record_crash(req)
                 return Done()
-            case StoreTable() | ReadState():
+            case StoreTable() | ReadState() | Evacuate():
                 return await self._propose(req)
             case RetireOrder():
                 return OrderReply(await self._retire_storage(req.name))
@@ -318,9 +320,14 @@
         self,
         command: Command,
     ) -> StateReply:
+        if isinstance(command, Evacuate):
+            check_evacuation(command, self._directory)
         reply = await self._group.propose_for_caller(encode(command))
         if not isinstance(reply, StateReply):
             raise CallError(ErrorCode.INTERNAL, 'a command gave no state')
+        if isinstance(command, Evacuate):
+            # Published at once instead of at the next tick.
+            self._refresh_view()
         return reply
 
     def _update_leadership(self) -> None:
@@ -410,6 +417,7 @@
             endpoints=self._endpoints,
             quarantined=self._quarantine.active_digests(),
             is_settled=self._leading_for_ms() > _SETTLE_MS,
+            evacuated=tuple(sorted(state.evacuated)),
             home_ledgers=list_home_ledgers(
                 self._rates.home_regions,
                 state.home_seeds,
--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -87,6 +87,7 @@
             instance to have reported to it.
         home_ledgers: Ledgers of single regions; empty unless the routing table
             has ever named home regions.
+        evacuated: Availability zones to whose endpoints nothing is sent.
     """
 
     controls: tuple[InstanceId, ...] = ()
@@ -100,6 +101,7 @@
     quarantined: tuple[str, ...] = ()
     is_settled: bool = False
     home_ledgers: tuple[HomeLedger, ...] = ()
+    evacuated: tuple[str, ...] = ()
 
 
 class LedgerReplicaStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -129,7 +131,7 @@
 
 
 # Generation of the replicated commands. Builds of generation 0 cannot apply
-# SeedHomeLedger.
+# SeedHomeLedger and Evacuate.
 COMMANDS_GENERATION = 1
 # Version of instances that need no routing table.
 NO_TABLE = sys.maxsize
@@ -326,6 +328,20 @@
     seed: HomeSeed
 
 
+class Evacuate(msgspec.Struct, frozen=True, tag=True):
+    """Command: begins or finishes the evacuation of an availability zone.
+
+    Both are idempotent. The zone need not exist.
+
+    Attributes:
+        zone: The availability zone.
+        has_begun: Whether the evacuation begins.
+    """
+
+    zone: str
+    has_begun: bool = True
+
+
 class Retire(msgspec.Struct, frozen=True, tag=True):
     """Command: marks a storage instance for retirement.
 
@@ -433,7 +449,13 @@
 
 
 Command = (
-    StoreTable | SeedLedger | Retire | ReadState | StoreRates | SeedHomeLedger
+    StoreTable
+    | SeedLedger
+    | Retire
+    | ReadState
+    | StoreRates
+    | SeedHomeLedger
+    | Evacuate
 )
 ControlRequest = (
     FollowRequest
@@ -446,6 +468,7 @@
     | ReadState
     | RetireOrder
     | QueryRetirement
+    | Evacuate
 )
 ControlReply = (
     FollowReply
--- a/src/acaciaramp/coordination/state_machine.py
+++ b/src/acaciaramp/coordination/state_machine.py
@@ -9,6 +9,7 @@
 from acaciaramp.coordination.homes import HomeSeed
 from acaciaramp.coordination.messages import (
     Command,
+    Evacuate,
     Node,
     RateCheckpoint,
     ReadState,
@@ -38,6 +39,7 @@
         retiring: Storage instances to retire, by name.
         rates: Newest checkpoints of the shared rates, by workspace.
         home_seeds: How the ledgers of single regions were bootstrapped.
+        evacuated: Availability zones that are evacuated.
     """
 
     version: int = 0
@@ -46,6 +48,7 @@
     retiring: dict[str, Node] = msgspec.field(default_factory=dict)
     rates: dict[str, RateCheckpoint] = msgspec.field(default_factory=dict)
     home_seeds: dict[str, HomeSeed] = msgspec.field(default_factory=dict)
+    evacuated: frozenset[str] = frozenset()
 
 
 _state_decoder = msgspec.msgpack.Decoder(ControlState)
@@ -98,6 +101,9 @@
                 state.ledger_seed = state.ledger_seed or member
             case SeedHomeLedger(region=region, seed=seed):
                 state.home_seeds.setdefault(region, seed)
+            case Evacuate(zone=zone, has_begun=has_begun):
+                others = state.evacuated - {zone}
+                state.evacuated = others | {zone} if has_begun else others
             case Retire(node=node):
                 state.retiring[node.name] = node
             case StoreRates(levels=checkpoints):
--- a/src/acaciaramp/errors.py
+++ b/src/acaciaramp/errors.py
@@ -42,6 +42,7 @@
     QUEUE_FULL = 'queue_full'
     QUEUE_TIMEOUT = 'queue_timeout'
     NO_ENDPOINT = 'no_endpoint'
+    ZONE_EVACUATED = 'zone_evacuated'
     HOME_REGION_UNAVAILABLE = 'home_region_unavailable'
     ENDPOINT_FAILED = 'endpoint_failed'
     ENDPOINT_LIMITED = 'endpoint_limited'
--- a/src/acaciaramp/forwarding/chooser.py
+++ b/src/acaciaramp/forwarding/chooser.py
@@ -86,13 +86,13 @@
             )
 
     def check_place(self, call: Call) -> None:
-        """Check that a request bound to regions can be placed in them.
+        """Check that evacuations and home regions leave a request an endpoint.
 
-        Such a request is refused at once: waiting does not bring a region that
-        is cut off nearer, and its caller may reach another instance.
+        Otherwise it is refused at once: waiting does not bring a region that is
+        cut off nearer, and its caller may reach another instance.
 
         Raises:
-            CallError: There is no endpoint in its regions, or none is reached.
+            CallError: No endpoint is left, or no home region is reached.
         """
         problem = self._selector.place_problem(call.endpoint_query)
         if problem is not None:
@@ -227,11 +227,12 @@
 
 
 def _place_error(call: Call, code: ErrorCode) -> CallError:
-    regions = sorted(call.allowed_regions or ())
+    reason = 'outside the evacuated zones'
+    if code is ErrorCode.HOME_REGION_UNAVAILABLE:
+        reason = f'in the home regions {sorted(call.allowed_regions or ())}'
     return CallError(
         code,
-        f'no endpoint of service "{call.service}" can be reached in the home '
-        f'regions {regions}',
+        f'no endpoint of service "{call.service}" can be reached {reason}',
         call.verdict,
         retry_after_ms=_RETRY_AFTER_MS,
     )
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -143,6 +143,7 @@
         self._region = region
         self._regions = regions
         self._region_reach = RegionReach(clock)
+        self._evacuated: frozenset[str] = frozenset()
         self._clock = clock
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
         self._by_id: dict[EndpointId, Endpoint] = {}
@@ -183,14 +184,33 @@
             if not self._states[endpoint_id].in_flight:
                 self._states.pop(endpoint_id)
 
+    def replace_evacuated(self, zones: Collection[str]) -> None:
+        """Replace the availability zones to which nothing is sent.
+
+        They stay until the next call, also if the leader is lost meanwhile.
+        """
+        if self._evacuated != frozenset(zones):
+            logger.info(
+                'The evacuated zones have changed.',
+                zones=sorted(zones),
+                before=sorted(self._evacuated),
+            )
+        self._evacuated = frozenset(zones)
+
     @property
     def has_endpoints(self) -> bool:
         """Whether any service has an endpoint that is not leaving."""
         return bool(self._by_service)
 
     def find(self, endpoint_id: EndpointId) -> Endpoint | None:
-        """Return the listed endpoint with an id, None if there is none."""
-        return self._by_id.get(endpoint_id)
+        """Return the listed endpoint with an id that peers may be led to.
+
+        None if there is none, or its zone is evacuated.
+        """
+        found = self._by_id.get(endpoint_id)
+        if found is None or found.availability_zone in self._evacuated:
+            return None
+        return found
 
     def staying(self) -> list[Endpoint]:
         """Return all listed endpoints that are not leaving."""
@@ -243,22 +263,29 @@
         An instance that knows no endpoint of the service cannot say so.
         """
         is_known = bool(self._by_service.get(query.service))
-        return is_known and not self._candidates(query)
+        if not is_known or self._candidates(query):
+            return False
+        return not self._evacuated or not self._candidates(
+            query, ignores_evacuation=True
+        )
 
     def place_problem(self, query: EndpointQuery) -> ErrorCode | None:
         """Return why a request cannot be placed for now; None if it may be.
 
-        Only requests that are bound to regions are checked, and only once some
-        endpoint is known: an instance that has just started cannot say.
+        Only evacuations and the regions that requests are bound to are checked,
+        and only once some endpoint is known: an instance that has just started
+        cannot say.
         """
-        if query.regions is None or not self._by_id:
+        if not self._by_id or (query.regions is None and not self._evacuated):
             return None
-        zones = {
-            item.availability_zone
-            for item in self._candidates(query)
-            if not self._region_reach.is_lost(item.availability_zone)
-        }
-        return None if zones else ErrorCode.HOME_REGION_UNAVAILABLE
+        zones = {item.availability_zone for item in self._candidates(query)}
+        if not zones and self._candidates(query, ignores_evacuation=True):
+            return ErrorCode.ZONE_EVACUATED
+        if query.regions is None or not all(
+            map(self._region_reach.is_lost, zones)
+        ):
+            return None
+        return ErrorCode.HOME_REGION_UNAVAILABLE
 
     def explain(
         self, endpoint: Endpoint, query: EndpointQuery
@@ -346,14 +373,21 @@
             pause_ms=backoff_ms,
         )
 
-    def _candidates(self, query: EndpointQuery) -> list[Endpoint]:
+    def _candidates(
+        self, query: EndpointQuery, *, ignores_evacuation: bool = False
+    ) -> list[Endpoint]:
         """Return the endpoints that a request may be sent to.
 
         If a required version has only leaving ones, these are returned while
         their grace lasts.
+
+        Args:
+            query: What the request needs.
+            ignores_evacuation: Whether those of evacuated zones are returned.
         """
+        closed = frozenset() if ignores_evacuation else self._evacuated
         listed = self._by_service.get(query.service, ())
-        staying = [item for item in listed if self._allows(query, item)]
+        staying = [item for item in listed if self._allows(query, item, closed)]
         if staying or not query.requires_version:
             return staying
         oldest_ms = self._clock.now_ms() - self._leaving_grace_ms
@@ -361,11 +395,15 @@
             entry.endpoint
             for entry in self._leaving.values()
             if entry.endpoint.service == query.service
-            and self._allows(query, entry.endpoint)
+            and self._allows(query, entry.endpoint, closed)
             and entry.since_ms > oldest_ms
         ]
 
-    def _allows(self, query: EndpointQuery, endpoint: Endpoint) -> bool:
+    def _allows(
+        self, query: EndpointQuery, endpoint: Endpoint, closed: frozenset[str]
+    ) -> bool:
+        if endpoint.availability_zone in closed:
+            return False
         region = self._regions.get(endpoint.availability_zone)
         return query.allows(endpoint, region)
 
--- a/src/acaciaramp/platform/operators.py
+++ b/src/acaciaramp/platform/operators.py
@@ -10,6 +10,7 @@
 from acaciaramp.coordination.codec import pack_table, unpack_table
 from acaciaramp.coordination.messages import (
     ControlRequest,
+    Evacuate,
     OrderOutcome,
     OrderReply,
     QueryRetirement,
@@ -41,6 +42,9 @@
 _REPLY_TIMEOUT_MS = 900
 _JSON_HEADER = (b'content-type', b'application/json')
 _RETIRE_PREFIX = '/v1/retire/'
+_EVACUATION_PREFIX = '/v1/evacuations/'
+_BEGIN = 'begin'
+_FINISH = 'finish'
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -132,13 +136,19 @@
         return await _read_config(follower)
     if path.startswith(_RETIRE_PREFIX):
         name, _, verb = path.removeprefix(_RETIRE_PREFIX).partition('/')
-        if (method, verb) == ('POST', 'begin'):
+        if (method, verb) == ('POST', _BEGIN):
             outcome = await _send_order(follower, RetireOrder(name))
             return _Response(_RETIRE_STATUSES[outcome])
         if (method, verb) == ('GET', 'read'):
             return _retirement_response(
                 await _send_order(follower, QueryRetirement(name))
             )
+    if method == 'POST' and path.startswith(_EVACUATION_PREFIX):
+        zone, _, verb = path.removeprefix(_EVACUATION_PREFIX).rpartition('/')
+        if zone and verb in {_BEGIN, _FINISH}:
+            order = Evacuate(zone, has_begun=verb == _BEGIN)
+            await follower.request(order, StateReply, _REPLY_TIMEOUT_MS)
+            return _Response(_OK)
     raise CallError(ErrorCode.NOT_FOUND, f'there is no call "{call}"')
 
 
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -361,6 +361,7 @@
     def _on_view(self, view: View) -> None:
         if view.endpoints is not None:
             self._replace_endpoints(view.endpoints)
+        self._selector.replace_evacuated(view.evacuated)
         self._gateway.quarantined = frozenset(view.quarantined)
         self._paths.replace_peers(view)
         entries = len(view.entries)
--- a/tests/coordination/test_leader.py
+++ b/tests/coordination/test_leader.py
@@ -10,12 +10,12 @@
 import pytest
 
 from acaciaramp.clock import SystemClock
-from acaciaramp.coordination.codec import pack_table, unpack_view
+from acaciaramp.coordination.codec import encode, pack_table, unpack_view
 from acaciaramp.coordination.directory import Directory
 from acaciaramp.coordination.leader import Coordinator
 from acaciaramp.coordination.messages import (
-    COMMANDS_GENERATION,
     Endpoint,
+    Evacuate,
     FollowReply,
     FollowRequest,
     GrantReply,
@@ -414,7 +414,7 @@
 
 def test_ledger_of_a_named_home_region_is_seeded_and_published() -> None:
     async def scenario(control: ControlInstance) -> None:
-        view = await seed_home_ledger(control, COMMANDS_GENERATION)
+        view = await seed_home_ledger(control, 1)
         home = view.home_ledgers[0]
         assert (home.region, len(home.storages)) == ('east', 3)
         assert home.seed is not None
@@ -442,7 +442,7 @@
 
 def test_storage_instance_that_its_region_needs_is_not_retired() -> None:
     async def scenario(control: ControlInstance) -> None:
-        await seed_home_ledger(control, COMMANDS_GENERATION)
+        await seed_home_ledger(control, 1)
         await control.report(
             msgspec.structs.replace(build.node('s-4'), region='w')
         )
@@ -453,3 +453,46 @@
         assert outcome is OrderOutcome.DONE
 
     run_with_leader(scenario)
+
+
+def test_evacuation_is_published_when_it_is_acknowledged() -> None:
+    async def scenario(control: ControlInstance) -> None:
+        await control.report(ENTRY)
+        reply = await control.coordinator.handle(Evacuate('south'))
+        assert isinstance(reply, StateReply)
+        assert control.coordinator._view.evacuated == ('south',)
+        await control.coordinator.handle(Evacuate('south', has_begun=False))
+        assert not control.coordinator._view.evacuated
+
+    run_with_leader(scenario)
+
+
+def test_leader_after_one_lost_before_the_acknowledgement_publishes_it() -> (
+    None
+):
+    # The order is committed, the operator does not know and sends it again.
+    committed = ControlStateMachine()
+    committed.apply(encode(Evacuate('south')))
+
+    async def scenario(control: ControlInstance) -> None:
+        control.coordinator._state_machine.restore(committed.snapshot())
+        await anyio.sleep(0.3)
+        assert view_of(await control.report(ENTRY)).evacuated == ('south',)
+        await control.coordinator.handle(Evacuate('south'))
+        assert view_of(await control.report(ENTRY)).evacuated == ('south',)
+
+    run_with_leader(scenario)
+
+
+def test_evacuation_is_refused_beside_control_instances_of_earlier_builds() -> (
+    None
+):
+    # They could not apply the command and would end.
+    async def scenario(control: ControlInstance) -> None:
+        await control.report(build.node('c-2', RoleName.CONTROL))
+        with pytest.raises(CallError) as caught:
+            await control.coordinator.handle(Evacuate('south'))
+        assert caught.value.refusal.code is ErrorCode.NOT_LEADER
+        assert not control.coordinator._state_machine.state.evacuated
+
+    run_with_leader(scenario)
--- a/tests/coordination/test_state_machine.py
+++ b/tests/coordination/test_state_machine.py
@@ -8,6 +8,7 @@
 
 from acaciaramp.coordination.codec import encode, pack_table, unpack_table
 from acaciaramp.coordination.messages import (
+    Evacuate,
     RateCheckpoint,
     ReadState,
     Retire,
@@ -51,6 +52,7 @@
         SeedLedger(Member(InstanceId('a'), '1')),
         Retire(build.node('s-1')),
         StoreRates({'w': RateCheckpoint(2, (3, 0))}),
+        Evacuate('north'),
     )
     restored = ControlStateMachine()
     restored.restore(state_machine.snapshot())
@@ -90,3 +92,14 @@
     stored = state_machine.apply(encode(StoreTable(4, b'four')))
     assert stored == StateReply(4, b'')
     assert state_machine.apply(encode(ReadState())) == StateReply(4, b'four')
+
+
+def test_evacuations_begin_and_finish_once_in_the_order_of_the_log() -> None:
+    state_machine = state_machine_after(
+        Evacuate('south'),
+        Evacuate('north'),
+        Evacuate('north'),
+        Evacuate('south', has_begun=False),
+        Evacuate('south', has_begun=False),
+    )
+    assert state_machine.state.evacuated == {'north'}
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -11,7 +11,7 @@
     r'(?i:x-attempt-id|x-deadline-ms|x-expect-instance|x-tenant|x-token|'
     r'x-previous-turn|x-program|x-session|x-not-executed|kv-from)|'
     r'frontendAddr|configApplyMs|pathPrefix|routeKind|timeoutMs|apiKeys|'
-    r'nodeName|machineClass|ACACIARAMP_NODE_FILE|/v1/retire|/v1/config'
+    r'nodeName|machineClass|ACACIARAMP_NODE_FILE|/v1/retire|/v1/config|/v1/evacuations|homeRegions'
 )
 ROOT = pathlib.Path(acaciaramp.__file__).parent
 
