Limit the requests to cold endpoints by slots of the owner

Cause: an endpoint that has just started handles few requests, and all entries sent it as many as to others.

Change: coldStartS and coldPerS of a service and coldLeftMs of the list are decoded. While an endpoint is cold, each request to it needs a slot from the owner of the slots of limited endpoints, at coldPerS; the lower limit holds if it states one too. Other endpoints are used when the owner has no slot or does not reply. Slots at cold endpoints are reserved at most 200 ms in advance, since the bound holds over one second, also over a change of the owner. The view carries only whether an endpoint is cold, as the time left would change it with each list. Health responses of endpoints are not read by any instance, so that X-Cold-Ms is not read either.

--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -54,6 +54,9 @@
         is_leaving: Whether it must get no new requests.
         born_ms: Wall-clock time of its start in milliseconds; 0 if unknown.
         version: Version of its software; empty if unknown.
+        is_cold: Whether the list states that it is cold; None if it says
+            nothing. The time that is left is not kept, as each list would then
+            change the view.
     """
 
     id: EndpointId
@@ -65,6 +68,7 @@
     is_leaving: bool = False
     born_ms: int = 0
     version: str = ''
+    is_cold: bool | None = None
 
 
 class View(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/acaciaramp/forwarding/endpoint_limits.py
+++ b/src/acaciaramp/forwarding/endpoint_limits.py
@@ -17,6 +17,7 @@
     StatedLimit,
 )
 from acaciaramp.errors import CallError
+from acaciaramp.ids import EndpointId
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -27,12 +28,17 @@
 
     # Asks the owner for a slot; raises ``CallError`` if it does not reply.
     RequestSlot = Callable[[SlotRequest], Awaitable[SlotReply]]
+    ColdLimit = Callable[[Endpoint], float | None]
 
 logger = get_logger('placement')
 
 # Requests that have another choice do not ask the owner for this long after it
 # has not replied.
 _OWNER_PAUSE_MS = 200
+# Longest wait for a slot at a cold endpoint. What an owner has reserved in advance
+# counts beside the slots of the next one, and the bound of a cold endpoint holds
+# over one second only.
+_COLD_WAIT_MS = 200
 
 
 class _Limit(msgspec.Struct):
@@ -52,13 +58,22 @@
 class EndpointLimits:
     """The limits of the endpoints that state one, as this instance heard."""
 
-    def __init__(self, request_slot: RequestSlot, clock: Clock) -> None:
+    def __init__(
+        self,
+        request_slot: RequestSlot,
+        clock: Clock,
+        cold_per_s: ColdLimit | None = None,
+    ) -> None:
         """Create it without limits.
 
         Args:
             request_slot: Asks the owner of the slots for one.
             clock: Source of time.
+            cold_per_s: Returns the limit of a cold endpoint, requests per
+                second; None for an endpoint that is not cold.
         """
+        self._cold_per_s = cold_per_s
+        self._cold_limits: dict[str, _Limit] = {}
         self._request_slot = request_slot
         self._clock = clock
         self._limits: dict[str, _Limit] = {}
@@ -70,7 +85,7 @@
 
     def is_limited(self, endpoint: Endpoint) -> bool:
         """Return whether a request to an endpoint needs a slot."""
-        return endpoint.id in self._limits
+        return self._limit_of(endpoint) is not None
 
     def record(self, endpoint: Endpoint, per_s: float | None) -> None:
         """Record what a response of an endpoint states.
@@ -100,6 +115,8 @@
         """Forget the limits of endpoints that are not listed any more."""
         for endpoint_id in self._limits.keys() - endpoint_ids:
             self._limits.pop(endpoint_id)
+        for cold_id in self._cold_limits.keys() - endpoint_ids:
+            self._cold_limits.pop(cold_id)
 
     async def reserve(
         self, endpoints: Sequence[Endpoint], longest_wait_ms: int
@@ -113,19 +130,24 @@
         Raises:
             CallError: The owner of the slots did not reply.
         """
+        limits = {item.id: self._limit_of(item) for item in endpoints}
+        if any(endpoint_id in self._cold_limits for endpoint_id in limits):
+            longest_wait_ms = min(longest_wait_ms, _COLD_WAIT_MS)
         latest_ms = self._clock.now_ms() + longest_wait_ms
-        limits = [self._limits[endpoint.id] for endpoint in endpoints]
-        stated = tuple(
-            self._stated(endpoint)
-            for endpoint, limit in zip(endpoints, limits, strict=True)
-            if limit.no_slot_until_ms <= latest_ms
-        )
+        free_ms: list[int] = []
+        stated: list[StatedLimit] = []
+        for endpoint_id, limit in limits.items():
+            if limit is None:
+                # It has become warm just now.
+                return SlotReply(EndpointId(endpoint_id), 0)
+            free_ms.append(limit.no_slot_until_ms)
+            if limit.no_slot_until_ms <= latest_ms:
+                stated.append(self._stated(endpoint_id, limit))
         if not stated:
-            free_ms = min(limit.no_slot_until_ms for limit in limits)
-            return SlotReply(None, free_ms - self._clock.now_ms())
+            return SlotReply(None, min(free_ms) - self._clock.now_ms())
         try:
             reply = await self._request_slot(
-                SlotRequest(stated, longest_wait_ms)
+                SlotRequest(tuple(stated), longest_wait_ms)
             )
         except CallError:
             self._record_no_slot(stated, _OWNER_PAUSE_MS)
@@ -134,10 +156,23 @@
             self._record_no_slot(stated, reply.wait_ms)
         return reply
 
-    def _stated(self, endpoint: Endpoint) -> StatedLimit:
-        limit = self._limits[endpoint.id]
+    def _limit_of(self, endpoint: Endpoint) -> _Limit | None:
+        """Return the limit of an endpoint, the lower one if it is cold as well."""
+        stated = self._limits.get(endpoint.id)
+        if self._cold_per_s is None:
+            return stated
+        cold_per_s = self._cold_per_s(endpoint)
+        if cold_per_s is None or (stated and stated.per_s <= cold_per_s):
+            self._cold_limits.pop(endpoint.id, None)
+            return stated
+        cold = self._cold_limits.setdefault(endpoint.id, _Limit(cold_per_s, 0))
+        cold.per_s = cold_per_s
+        cold.stated_ms = self._clock.now_ms()
+        return cold
+
+    def _stated(self, endpoint_id: str, limit: _Limit) -> StatedLimit:
         age_ms = self._clock.now_ms() - limit.stated_ms
-        return StatedLimit(endpoint.id, limit.per_s, age_ms)
+        return StatedLimit(EndpointId(endpoint_id), limit.per_s, age_ms)
 
     def _record_no_slot(
         self, stated: Sequence[StatedLimit], wait_ms: int
@@ -145,6 +180,7 @@
         """Record that none of some endpoints has a slot before a time."""
         until_ms = self._clock.now_ms() + wait_ms
         for item in stated:
-            limit = self._limits.get(item.endpoint)
-            if limit is not None:
-                limit.no_slot_until_ms = until_ms
+            for known in (self._limits, self._cold_limits):
+                limit = known.get(item.endpoint)
+                if limit is not None:
+                    limit.no_slot_until_ms = until_ms
--- a/src/acaciaramp/platform/config.py
+++ b/src/acaciaramp/platform/config.py
@@ -56,6 +56,8 @@
 class _Service(msgspec.Struct, rename='camel', kw_only=True):
     name: str
     max_conns: int = 0
+    cold_start_s: float = 0
+    cold_per_s: float = 0
     engine: _Engine | None = None
 
 
@@ -141,6 +143,8 @@
     return Service(
         name=ServiceName(wire.name),
         most_connections=wire.max_conns,
+        cold_start_ms=int(wire.cold_start_s * _MS_PER_SECOND),
+        cold_per_s=wire.cold_per_s,
         tokens_per_event=0 if engine is None else engine.chunk_tokens,
     )
 
--- a/src/acaciaramp/platform/instances.py
+++ b/src/acaciaramp/platform/instances.py
@@ -41,6 +41,7 @@
 _Name = Annotated[str, msgspec.Meta(pattern='^[!-~]{1,256}$')]
 _Version = Annotated[str, msgspec.Meta(max_length=_MAX_VERSION_LENGTH)]
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+_ColdMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 _WallMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
@@ -54,11 +55,11 @@
     next: str | None = None
 
 
-class _Instance(msgspec.Struct, kw_only=True):
+class _Instance(msgspec.Struct, rename='camel', kw_only=True):
     """One entry.
 
     ``version`` is that of the endpoint's software, ``born`` its start time, wall
-    clock, ms.
+    clock, ms, ``coldLeftMs`` how long it stays cold.
     """
 
     id: _Name
@@ -69,6 +70,7 @@
     state: Literal['ready', 'draining']
     version: _Version = ''
     born: _WallMs = 0
+    cold_left_ms: _ColdMs | None = None
 
 
 _DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError)
@@ -167,4 +169,5 @@
         is_leaving=wire.state == 'draining',
         born_ms=wire.born,
         version=wire.version,
+        is_cold=None if wire.cold_left_ms is None else wire.cold_left_ms > 0,
     )
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -22,6 +22,7 @@
 from acaciaramp.errors import CallError
 from acaciaramp.forwarding.admission import Admission
 from acaciaramp.forwarding.chooser import EndpointChooser
+from acaciaramp.forwarding.cold_endpoints import ColdEndpoints
 from acaciaramp.forwarding.connections import ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
@@ -103,7 +104,10 @@
             self._request_tokens, GRANT_LIFETIME_MS, context.clock
         )
         self._selector = make_selector(cfg, context.clock, rng)
-        self._limits = EndpointLimits(self._request_slot, context.clock)
+        self._cold = ColdEndpoints(lambda: self._router.services, context.clock)
+        self._limits = EndpointLimits(
+            self._request_slot, context.clock, self._cold.per_s
+        )
         self._paths = EndpointPaths(context, self._selector, rng)
         self._connections = ConnectionPool(
             self._paths.dialer, context.clock, self._max_connections
@@ -375,6 +379,7 @@
 
     def _replace_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         self._selector.replace_endpoints(endpoints)
+        self._cold.replace_endpoints(endpoints)
         self._limits.retain({endpoint.id for endpoint in endpoints})
 
     def _configure_quota(self) -> None:
--- a/src/acaciaramp/routing/model.py
+++ b/src/acaciaramp/routing/model.py
@@ -99,11 +99,16 @@
             accepts from all entry instances together; 0 for no limit.
         tokens_per_event: Tokens in each event of a stream; 0 for a service
             that generates none.
+        cold_start_ms: How long an endpoint is cold after its start.
+        cold_per_s: Requests per second that a cold endpoint can handle; 0 for
+            no limit.
     """
 
     name: ServiceName
     most_connections: int = 0
     tokens_per_event: int = 0
+    cold_start_ms: int = 0
+    cold_per_s: float = 0
 
 
 class TrafficLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -126,3 +126,12 @@
     assert table.home_regions == ('a', 'b')
     assert decode_table(config_with_route(homeRegions=[])).home_regions == ()
     assert decode_table(config_json()).home_regions == ()
+
+
+def test_cold_limits_of_a_service_are_decoded() -> None:
+    service = {'name': 'model', 'coldStartS': 2.5, 'coldPerS': 3}
+    other = {'name': 'tool'}
+    table = decode_table(config_json(services=[service, other]))
+    found = table.services
+    assert (found[0].cold_start_ms, found[0].cold_per_s) == (2_500, 3)
+    assert (found[1].cold_start_ms, found[1].cold_per_s) == (0, 0)
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -40,6 +40,8 @@
     VALID.replace(b'"slots":12', b'"slots":36893488147419103232'),
     VALID.replace(b'"born":5', b'"born":36893488147419103232'),
     VALID.replace(b'"born":5', b'"born":-5'),
+    VALID.replace(b'"coldLeftMs":0', b'"coldLeftMs":-1'),
+    VALID.replace(b'"coldLeftMs":0', b'"coldLeftMs":"long"'),
 )
 DEPTH = 100_000
 
@@ -51,7 +53,7 @@
     assert metrics.counts['bad_input.list_entry'] == 2 * len(INVALID)
     assert (found.id, found.host, found.port) == ('i-1', '10.0.0.9', 80)
     assert (found.slots, found.is_leaving, found.born_ms) == (12, True, 5)
-    assert found.version == 'v1'
+    assert (found.version, found.is_cold) == ('v1', False)
 
 
 @pytest.mark.parametrize(
@@ -91,3 +93,10 @@
                 await read()
 
     anyio.run(scenario)
+
+
+def test_entry_may_be_cold_or_say_nothing_of_it() -> None:
+    cold = VALID.replace(b'"coldLeftMs":0', b'"coldLeftMs":700')
+    silent = VALID.replace(b'"coldLeftMs":0,', b'')
+    found = decode_entries(list(map(msgspec.Raw, (cold, silent))), Metrics())
+    assert [endpoint.is_cold for endpoint in found] == [True, None]
