--- a/src/acaciaramp/conversations/homes.py
+++ b/src/acaciaramp/conversations/homes.py
@@ -84,5 +84,6 @@
         """Return the instances of which one leads the ledger of a region."""
         for home in self._ledgers():
             if home.region == region:
-                return home.voters or home.storages
+                # The view may be out of date; others name the leader.
+                return tuple(dict.fromkeys((*home.voters, *home.storages)))
         return ()
--- a/src/acaciaramp/coordination/homes.py
+++ b/src/acaciaramp/coordination/homes.py
@@ -28,9 +28,10 @@
 
     Attributes:
         member: The replica that bootstraps it.
-        tolerated_losses: Number of its disks that may be lost at once. Fixed at
-            the start, as replicas must agree on it: a region may have fewer
-            storage instances than the deployment's tolerance needs.
+        tolerated_losses: Number of its disks that may be lost at once, with
+            which it accepts commands. Fixed at the start, as replicas must agree
+            on it: a region may have fewer storage instances than the
+            deployment's tolerance needs. Replicas are added beyond it.
     """
 
     member: Member
--- a/src/acaciaramp/replication/group.py
+++ b/src/acaciaramp/replication/group.py
@@ -60,6 +60,7 @@
         tolerated_disk_losses: int,
         eligible: Callable[[], Collection[InstanceId]],
         retiring: Callable[[], Collection[InstanceId]],
+        target_voters: int | None = None,
     ) -> None:
         """Load the replica from its store.
 
@@ -74,13 +75,15 @@
             eligible: Returns the instances that may become members, in order
                 of preference.
             retiring: Returns the instances whose replicas are to be replaced.
+            target_voters: Number of voters to have if there are enough instances;
+                None for as many as the tolerated losses need.
         """
         self._clock = clock
         self._store = store
         self._tolerated_disk_losses = tolerated_disk_losses
         self._eligible = eligible
         self._retiring = retiring
-        self._target_voters = 2 * tolerated_disk_losses + 1
+        self._target_voters = target_voters or 2 * tolerated_disk_losses + 1
         self._previous_commit: int | None = None
         self._failure: Exception | None = None
         self._failed = anyio.Event()
--- a/src/acaciaramp/roles/home_storage.py
+++ b/src/acaciaramp/roles/home_storage.py
@@ -103,6 +103,7 @@
             tolerated_disk_losses=seed.tolerated_losses,
             eligible=self._eligible,
             retiring=lambda: self._retiring,
+            target_voters=2 * context.cfg.tolerated_faults + 1,
         )
         logger.info(
             'Starting a replica of the ledger of this region.',
--- a/tests/roles/test_home_storage.py
+++ b/tests/roles/test_home_storage.py
@@ -97,10 +97,14 @@
 
         return cast('Links', LocalLinks())
 
-    def publish(self) -> None:
+    def publish(self, tolerated_losses: int = 1) -> None:
         """Publish the view that names the home region and its seed."""
         status = self.roles[FAR[0]]._home.status()
-        seed = None if status is None else HomeSeed(status.replica, 1)
+        seed = (
+            None
+            if status is None
+            else HomeSeed(status.replica, tolerated_losses)
+        )
         home = HomeLedger(region='far', storages=tuple(FAR), seed=seed)
         for role in self.roles.values():
             role._on_view(View(home_ledgers=(home,)))
@@ -199,6 +203,18 @@
     run(tmp_path, scenario)
 
 
+def test_replicas_are_added_if_few_instances_reported_at_the_start(
+    tmp_path: pathlib.Path,
+) -> None:
+    # One copy of each turn would be lost with its disk.
+    async def scenario(deployment: Deployment) -> None:
+        deployment.publish(tolerated_losses=0)
+        deployment.publish(tolerated_losses=0)
+        await wait_for_voters(deployment)
+
+    run(tmp_path, scenario)
+
+
 def test_instance_of_another_region_refuses_the_request(
     tmp_path: pathlib.Path,
 ) -> None:
