--- a/src/acaciaramp/coordination/leader.py
+++ b/src/acaciaramp/coordination/leader.py
@@ -8,13 +8,18 @@
 import msgspec
 
 from acaciaramp.coordination.codec import encode, pack_view
+from acaciaramp.coordination.evacuations import check_evacuation
+from acaciaramp.coordination.home_seeds import seed_home_ledgers
+from acaciaramp.coordination.homes import list_home_ledgers
 from acaciaramp.coordination.locality import order_as_replicas
 from acaciaramp.coordination.messages import (
+    Command,
     ControlReply,
     ControlRequest,
     CrashReport,
     Done,
     Endpoint,
+    Evacuate,
     FollowReply,
     FollowRequest,
     GrantReply,
@@ -25,14 +30,12 @@
     ReadState,
     ReplicaMessage,
     ReplicaMessageReply,
-    Retire,
     RetireOrder,
     ReturnToken,
     SeedLedger,
     SlotReply,
     SlotRequest,
     StateReply,
-    StoreRates,
     StoreTable,
     View,
     ViewNumber,
@@ -199,7 +202,7 @@
             case CrashReport():
                 self._quarantine.record_crash(req)
                 return Done()
-            case StoreTable() | ReadState():
+            case StoreTable() | ReadState() | Evacuate():
                 return await self._propose(req)
             case RetireOrder():
                 return OrderReply(await self._retire_storage(req.name))
@@ -315,11 +318,16 @@
 
     async def _propose(
         self,
-        command: StoreTable | ReadState | SeedLedger | Retire | StoreRates,
+        command: Command,
     ) -> StateReply:
+        if isinstance(command, Evacuate):
+            check_evacuation(command, self._directory)
         reply = await self._group.propose_for_caller(encode(command))
         if not isinstance(reply, StateReply):
             raise CallError(ErrorCode.INTERNAL, 'a command gave no state')
+        if isinstance(command, Evacuate):
+            # Published at once instead of at the next tick.
+            self._refresh_view()
         return reply
 
     def _update_leadership(self) -> None:
@@ -347,11 +355,17 @@
                 name=node.name,
             )
         self._refresh_view()
-        if (
-            self._group.is_serving
-            and self._state_machine.state.ledger_seed is None
-        ):
+        if not self._group.is_serving:
+            return
+        if self._state_machine.state.ledger_seed is None:
             await self._seed_ledger()
+        await seed_home_ledgers(
+            self._view.home_ledgers,
+            self._directory,
+            self._target_voters // 2,
+            self._propose,
+            is_settled=self._leading_for_ms() > _SEED_WAIT_MS,
+        )
 
     async def _seed_ledger(self) -> None:
         """Choose the replica that bootstraps the ledger, if enough report.
@@ -391,17 +405,25 @@
             return
         state = self._state_machine.state
         entries = self._directory.nodes_with_role(RoleName.ENTRY)
+        storages = self._ordered_storages()
         view = View(
             controls=self._instances_with_role(RoleName.CONTROL),
             entries=tuple(node.instance for node in entries),
             entry_zones=tuple(node.availability_zone for node in entries),
-            storages=self._ordered_storages(),
+            storages=storages,
             ledger_voters=self._update_ledger_voters(),
             ledger_seed=state.ledger_seed,
             retiring=tuple(node.instance for node in state.retiring.values()),
             endpoints=self._endpoints,
             quarantined=self._quarantine.active_digests(),
             is_settled=self._leading_for_ms() > _SETTLE_MS,
+            evacuated=tuple(sorted(state.evacuated)),
+            home_ledgers=list_home_ledgers(
+                self._rates.home_regions,
+                state.home_seeds,
+                self._directory,
+                storages,
+            ),
         )
         if view != self._view or self._number.count == 0:
             self._view = view
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -5,9 +5,6 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from acaciaramp.conversations.cache import ChainCache
-from acaciaramp.conversations.client import LedgerClient
-from acaciaramp.conversations.turns import TurnManager
 from acaciaramp.coordination.grants import GRANT_LIFETIME_MS, local_share
 from acaciaramp.coordination.messages import (
     CrashReport,
@@ -22,21 +19,24 @@
 from acaciaramp.forwarding.admission import Admission
 from acaciaramp.forwarding.buffers import BufferLimit
 from acaciaramp.forwarding.chooser import EndpointChooser
+from acaciaramp.forwarding.cold_endpoints import ColdEndpoints
 from acaciaramp.forwarding.connections import ConnectionPool
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
-from acaciaramp.forwarding.load_exchange import LoadExchange
 from acaciaramp.forwarding.protocol import TrafficLimitProtocol
-from acaciaramp.forwarding.selector import EndpointSelector
 from acaciaramp.forwarding.turns import TurnLifecycle
 from acaciaramp.ids import WorkspaceId
 from acaciaramp.limits.quota import Quota
 from acaciaramp.roles.admission_control import make_overload_control
 from acaciaramp.roles.endpoint_paths import EndpointPaths
+from acaciaramp.roles.entry_parts import (
+    make_load_exchange,
+    make_selector,
+    make_turn_manager,
+)
 from acaciaramp.routing.checks import InvalidTableError
 from acaciaramp.routing.router import Router
-from acaciaramp.scheduling.load_board import LoadBoard
 from acaciaramp.settings.node import split_address
 from acaciaramp.util.logs import get_logger
 from acaciaramp.util.webserver import bind_socket, running_server
@@ -46,12 +46,10 @@
 
     import anyio
 
-    from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint, View
     from acaciaramp.ids import InstanceId, ServiceName
     from acaciaramp.roles.adapter import PlatformAdapter
     from acaciaramp.roles.common import RoleContext
-    from acaciaramp.settings.node import NodeSettings
 
 logger = get_logger('entry')
 
@@ -75,9 +73,6 @@
 # Lower bound of this instance's share, which applies even where an endpoint
 # accepts fewer connections than there are entry instances.
 _MIN_CONNECTIONS = 2
-# Share of the time in which a leaving endpoint must stop being sent requests; the
-# rest passes until this instance learns that it is leaving.
-_LEAVING_GRACE_SHARE = 0.3
 _MS_PER_SECOND = 1_000
 _STATUS_READY = 200
 _STATUS_NOT_READY = 503
@@ -105,33 +100,24 @@
         self._quota = Quota(
             self._request_tokens, GRANT_LIFETIME_MS, context.clock
         )
-        board = LoadBoard(context.clock, context.metrics)
-        self._selector = make_selector(cfg, context.clock, rng, board)
+        self._selector = make_selector(cfg, context.clock, rng, context.metrics)
         self._overload = make_overload_control(
             context, self._selector, self._workspace_priority, rng
         )
-        self._limits = EndpointLimits(self._request_slot, context.clock)
-        self._paths = EndpointPaths(context, self._selector, rng)
-        self._loads = LoadExchange(
-            context.node,
-            self._selector,
-            context.links,
-            context.clock,
-            rng,
-            context.metrics,
-            context.tasks,
+        self._cold = ColdEndpoints(lambda: self._router.services, context.clock)
+        self._limits = EndpointLimits(
+            self._request_slot, context.clock, self._cold.per_s
         )
+        self._paths = EndpointPaths(context, self._selector, rng)
+        self._loads = make_load_exchange(context, self._selector, rng)
         self._connections = ConnectionPool(
             self._paths.dialer, context.clock, self._max_connections
         )
         self._follower = context.make_follower(
             self._on_table, self._on_view, lambda: None
         )
-        ledger = LedgerClient(
-            context.links, self._ledger_instances, context.clock
-        )
-        self._turns = TurnManager(
-            ledger, ChainCache(), context.clock, context.tasks
+        self._turns = make_turn_manager(
+            context, self._ledger_instances, lambda: self._follower.view
         )
         lifecycle = TurnLifecycle(self._turns, context.clock, context.metrics)
         chooser = EndpointChooser(
@@ -383,6 +369,7 @@
     def _on_view(self, view: View) -> None:
         if view.endpoints is not None:
             self._replace_endpoints(view.endpoints)
+        self._selector.replace_evacuated(view.evacuated)
         self._gateway.quarantined = frozenset(view.quarantined)
         self._paths.replace_peers(view)
         self._loads.replace_peers(view)
@@ -397,6 +384,7 @@
 
     def _replace_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         self._selector.replace_endpoints(endpoints)
+        self._cold.replace_endpoints(endpoints)
         self._limits.retain({endpoint.id for endpoint in endpoints})
 
     def _configure_quota(self) -> None:
@@ -407,24 +395,6 @@
             )
 
 
-def make_selector(
-    cfg: NodeSettings,
-    clock: Clock,
-    rng: random.Random,
-    board: LoadBoard | None = None,
-) -> EndpointSelector:
-    """Create the endpoint selector for the location in the settings."""
-    return EndpointSelector(
-        cfg.availability_zone,
-        cfg.region,
-        cfg.regions,
-        clock,
-        rng,
-        leaving_grace_ms=int(_LEAVING_GRACE_SHARE * cfg.bounds.drain_ms),
-        board=board,
-    )
-
-
 async def _send_readiness(send: Any, *, is_ready: bool) -> None:
     status = _STATUS_READY if is_ready else _STATUS_NOT_READY
     headers = [(b'content-length', b'0')]
--- a/src/acaciaramp/routing/model.py
+++ b/src/acaciaramp/routing/model.py
@@ -101,12 +101,17 @@
             that generates none.
         cache_tokens: Memory of an endpoint for the contexts of running requests
             and for its cache, tokens; 0 if unknown.
+        cold_start_ms: How long an endpoint is cold after its start.
+        cold_per_s: Requests per second that a cold endpoint can handle; 0 for
+            no limit.
     """
 
     name: ServiceName
     most_connections: int = 0
     tokens_per_event: int = 0
     cache_tokens: int = 0
+    cold_start_ms: int = 0
+    cold_per_s: float = 0
 
 
 class TrafficLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/conversations/test_ledger_time.py
+++ b/tests/conversations/test_ledger_time.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import anyio
 import msgspec
 import pytest
@@ -33,9 +31,6 @@
 from acaciaramp.metrics.client import Metrics
 from tests import builders as build
 
-if TYPE_CHECKING:
-    from acaciaramp.conversations.messages import LedgerRequest
-
 WALL_MS = 1_700_000_000_000
 RETENTION_MS = 60_000
 JUMP_MS = 30_000
@@ -83,7 +78,7 @@
         self.group.term += 1
         self._replica = self._make_replica()
 
-    def send(self, req: LedgerRequest) -> LedgerReply:
+    def send(self, req: OpenTurn | CloseTurn) -> LedgerReply:
         """Send a command to the leader."""
         return anyio.run(self._replica.handle, req)
 
--- a/tests/forwarding/test_selector.py
+++ b/tests/forwarding/test_selector.py
@@ -12,7 +12,8 @@
 from acaciaramp.forwarding.messages import EndpointLoad
 from acaciaramp.forwarding.selector import EndpointQuery, EndpointSelector
 from acaciaramp.ids import AvailabilityZone
-from acaciaramp.roles.entry import make_selector
+from acaciaramp.metrics.client import Metrics
+from acaciaramp.roles.entry_parts import make_selector
 from acaciaramp.scheduling.expected_finish import PromptPart, RequestWork
 from acaciaramp.settings.node import InstanceList, NodeSettings, RoleName
 from tests import builders as build
@@ -175,7 +176,7 @@
         seeds=(),
         instance_list=InstanceList(address='127.0.0.1:1'),
     )
-    selector = make_selector(cfg, ManualClock(), random.Random(1))
+    selector = make_selector(cfg, ManualClock(), random.Random(1), Metrics())
     near, far = endpoint('n', 'south'), endpoint('f', 'far')
     selector.replace_endpoints((far, near))
     selector.record_start(near, '')
