Obey an evacuation that begins while the origin of a stream is committed

Cause: an endpoint is chosen before the origin of a stream is committed. A slow commit could let a request be sent to a zone whose evacuation had begun meanwhile.

Change: the chooser selects again if the zone is evacuated after the commit.

Measured: tests/forwarding/test_evacuation.py and test_resumption.py pass; without the check the new test fails.

--- a/src/acaciaramp/forwarding/chooser.py
+++ b/src/acaciaramp/forwarding/chooser.py
@@ -113,11 +113,14 @@
             CallError: No endpoint is available, or the origin could not be
                 committed.
         """
-        endpoint = await self._wait_for_endpoint(call, excluded)
-        origin = _origin(endpoint)
-        if call.begins_stream and call.origin != origin:
-            await self._record_origin(call, origin)
-        return endpoint
+        while True:
+            endpoint = await self._wait_for_endpoint(call, excluded)
+            origin = _origin(endpoint)
+            if call.begins_stream and call.origin != origin:
+                await self._record_origin(call, origin)
+            # An evacuation may have begun during the commit.
+            if not self._selector.is_evacuated(endpoint):
+                return endpoint
 
     async def _wait_for_endpoint(
         self, call: Call, excluded: set[str]
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -197,6 +197,10 @@
             )
         self._evacuated = frozenset(zones)
 
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Return whether nothing is sent to the zone of an endpoint."""
+        return endpoint.availability_zone in self._evacuated
+
     @property
     def has_endpoints(self) -> bool:
         """Whether any service has an endpoint that is not leaving."""
--- a/tests/forwarding/test_evacuation.py
+++ b/tests/forwarding/test_evacuation.py
@@ -6,14 +6,17 @@
 
 import anyio
 import msgspec
+import pytest
 
+from acaciaramp.conversations.messages import StreamOrigin
 from acaciaramp.forwarding.selector import EndpointQuery
 from acaciaramp.ids import AvailabilityZone, EndpointId
 from acaciaramp.routing.model import RouteKind
 from tests import builders as build
-from tests.forwarding.harness import Harness, complete, run
+from tests.forwarding.harness import Harness, complete, run, streamed
 
 if TYPE_CHECKING:
+    from acaciaramp.forwarding.call import Call
     from tests.forwarding.endpoint import ScriptedEndpoint
 
 PLAIN: dict[str, Any] = {'kind': RouteKind.IDEMPOTENT, 'timeout_ms': 3_000}
@@ -89,3 +92,31 @@
         assert harness.selector.rank(query) == []
 
     run(build.route(**PLAIN), scenario)
+
+
+def expect_other(_: Call) -> StreamOrigin:
+    """Return an origin that no endpoint has, so that another is committed."""
+    return StreamOrigin(build.MODEL, 'other')
+
+
+def test_evacuation_that_begins_while_an_origin_is_committed_is_obeyed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        place(harness)
+        chooser = harness.gateway._chooser
+        record_origin = chooser._record_origin
+
+        async def record(call: Call, origin: StreamOrigin) -> None:
+            await record_origin(call, origin)
+            harness.selector.replace_evacuated(('north',))
+
+        chooser._record_origin = record
+        monkeypatch.setattr(chooser, 'expected_origin', expect_other)
+        for number in range(10):
+            harness.selector.replace_evacuated(())
+            caller = await harness.request(str(number))
+            assert caller.status == 200
+        assert [len(fake.received) for fake in fakes] == [0, 10]
+
+    run(build.route(is_resumable=True), scenario, streamed, streamed)
