--- a/tests/forwarding/test_evacuation.py
+++ b/tests/forwarding/test_evacuation.py
@@ -6,7 +6,6 @@
 
 import anyio
 import msgspec
-import pytest
 
 from acaciaramp.conversations.messages import StreamOrigin
 from acaciaramp.forwarding.selector import EndpointQuery
@@ -16,6 +15,8 @@
 from tests.forwarding.harness import Harness, complete, run, streamed
 
 if TYPE_CHECKING:
+    import pytest
+
     from acaciaramp.forwarding.call import Call
     from tests.forwarding.endpoint import ScriptedEndpoint
 
