--- a/src/acaciaramp/forwarding/chooser.py
+++ b/src/acaciaramp/forwarding/chooser.py
@@ -123,15 +123,19 @@
             CallError: No endpoint is available, or the origin could not be
                 committed.
         """
-        endpoint = await self._wait_for_endpoint(call, excluded)
-        origin = _origin(endpoint)
-        if call.begins_stream and call.origin != origin:
-            try:
-                await self._record_origin(call, origin)
-            except BaseException:
-                self._release(call)
-                raise
-        return endpoint
+        while True:
+            endpoint = await self._wait_for_endpoint(call, excluded)
+            origin = _origin(endpoint)
+            if call.begins_stream and call.origin != origin:
+                try:
+                    await self._record_origin(call, origin)
+                except BaseException:
+                    self._release(call)
+                    raise
+            # An evacuation may have begun during the commit.
+            if not self._selector.is_evacuated(endpoint):
+                return endpoint
+            self._release(call)
 
     async def _wait_for_endpoint(
         self, call: Call, excluded: set[str]
