Reject responses with an undefined status, and end 204 and 304 at the head

Cause: a status from 600 to 999 was passed on as an answer by the gateway, through peers and by acaciaramp serve. A 204 got a length, and a 304 that states a length was refused or not complete. All other odd statuses (000, 099, four digits, signs, letters, informational ones as the last) were rejected by the parser already; docs/design/statuses.md has the table.

Change: the status is checked before anything of the head is used. The relay sends 204 and 304 without body and length.

--- a/src/acaciaramp/endpoints/failures.py
+++ b/src/acaciaramp/endpoints/failures.py
@@ -11,6 +11,12 @@
     from acaciaramp.verdicts import Verdict
 
 
+_FIRST_FINAL_STATUS = 200
+_FIRST_UNDEFINED_STATUS = 600
+# Status codes of responses (RFC 9110, 15); lower ones precede a response.
+FINAL_STATUSES = range(_FIRST_FINAL_STATUS, _FIRST_UNDEFINED_STATUS)
+
+
 class Failure(enum.Enum):
     """Reasons why an attempt at an endpoint failed.
 
--- a/src/acaciaramp/endpoints/http.py
+++ b/src/acaciaramp/endpoints/http.py
@@ -8,7 +8,7 @@
 
 import httpcore
 
-from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.endpoints.failures import FINAL_STATUSES, EndpointError, Failure
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -196,7 +196,7 @@
         """Send a request; the response stays open within the context.
 
         Raises:
-            EndpointError: No response arrived; the verdict is ``NOT_RUN`` if no
+            EndpointError: No response with a valid status arrived; the verdict is ``NOT_RUN`` if no
                 byte of the request was sent.
         """
         tracker = _SendTracker()
@@ -227,6 +227,12 @@
                     tracker.verdict,
                     f'the endpoint closed the connection: {_class_name(exc)}',
                 ) from None
+            if resp.status not in FINAL_STATUSES:
+                raise EndpointError(
+                    Failure.MALFORMED,
+                    tracker.verdict,
+                    f'{resp.status} is no status of a response',
+                )
             yield HttpResponse(resp, self._clock, req, sent_ms)
 
     async def aclose(self) -> None:
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.endpoints.failures import FINAL_STATUSES, EndpointError, Failure
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import BadInput, Counter, Timer
 from acaciaramp.util.logs import get_logger
@@ -210,10 +210,17 @@
         """Check that a response belongs to the request and may be relayed.
 
         Raises:
-            EndpointError: The endpoint refused the request, responded to
-                another one, or sent a status that tells callers that a
-                request was not executed without confirming that.
+            EndpointError: The status is none, or the endpoint refused the
+                request, responded to another one, or sent a status that tells
+                callers that a request was not executed without confirming
+                that.
         """
+        if head.status not in FINAL_STATUSES:
+            raise EndpointError(
+                Failure.MALFORMED,
+                Verdict.MAY_HAVE_RUN,
+                f'{head.status} is no status of a response',
+            )
         if head.attempt != call.inbound.attempt:
             self._metrics.count(Counter.BAD_INPUT, BadInput.STRAY_ANSWER)
             raise EndpointError(
--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -26,6 +26,8 @@
 
 _OK = 200
 _MULTIPLE_CHOICES = 300
+# Their responses end with the head, whatever length it states (RFC 9112, 6.3).
+_BODILESS_STATUSES = frozenset((204, 304))
 
 
 class Relay:
@@ -88,14 +90,30 @@
             CallError: ``before_finish`` failed.
         """
         self.status = head.status
-        if self._call.route.kind is RouteKind.STREAMING and self.is_success:
+        is_bodiless = head.status in _BODILESS_STATUSES
+        is_stream = self._call.route.kind is RouteKind.STREAMING
+        if is_stream and self.is_success and not is_bodiless:
             await self._stream(head, resp)
             return
         with ResponseBuffer(self._buffers) as buffer:
             async for part in iter_body(resp):
                 buffer.append(part)
+            if is_bodiless:
+                await self._send_bodiless(head)
+                return
             await self._send_whole(head, bytes(buffer.content))
 
+    async def _send_bodiless(self, head: ResponseHead) -> None:
+        """Send a response without a body, and without a length.
+
+        A 204 must not have one, and the web server holds a 304 to it.
+        """
+        await self._before_finish(self)
+        headers = [
+            item for item in head.headers if item[0] != b'content-length'
+        ]
+        await self._caller.send_response(head.status, headers, b'')
+
     async def _send_whole(self, head: ResponseHead, body: bytes) -> None:
         if head.length is not None and self._call.inbound.method != 'HEAD':
             _check_length(head.length, len(body))
