Add acaciaramp config check

Cause: a config or document can be valid and still contain entries that never match and limits that contradict each other; only env check and settings check existed, for errors of documents.

Change: acaciaramp config check FILE [--against VERSION|FILE] prints one line for each error, warning and difference and exits with 0, 1 or 2. The checks are plain functions: routing/checks.py and routing/review.py for tables, documents/review.py for documents, util/findings.py for both. decode_table keeps its errors; decode_unchecked returns a table before they are checked.

--- a/src/acaciaramp/cmd/main.py
+++ b/src/acaciaramp/cmd/main.py
@@ -6,6 +6,7 @@
 
 import acaciaramp
 from acaciaramp.cmd.bench import bench
+from acaciaramp.cmd.config import config
 from acaciaramp.cmd.document import document
 from acaciaramp.cmd.fake import fake
 from acaciaramp.cmd.program import explain
@@ -40,6 +41,7 @@
 
 main.add_command(serve)
 main.add_command(settings)
+main.add_command(config)
 main.add_command(document)
 main.add_command(explain)
 main.add_command(fake)
--- a/src/acaciaramp/platform/config.py
+++ b/src/acaciaramp/platform/config.py
@@ -94,19 +94,31 @@
         InvalidTableError: The config cannot be decoded, or its table is
             invalid.
     """
+    table = decode_unchecked(body)
+    check_table(table)
+    return table
+
+
+def decode_unchecked(body: bytes) -> RoutingTable:
+    """Decode a config whose table may be inconsistent.
+
+    Args:
+        body: The config as JSON.
+
+    Raises:
+        InvalidTableError: The config cannot be decoded.
+    """
     try:
         config = _decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise InvalidTableError([str(exc)]) from None
-    table = RoutingTable(
+    return RoutingTable(
         version=config.version,
         routes=tuple(map(_route, config.routes)),
         services=tuple(map(_service, config.services)),
         limits=_limits(config.limits),
         workspaces=tuple(map(_workspace, config.tenants)),
     )
-    check_table(table)
-    return table
 
 
 def _route(wire: _Route) -> Route:
--- a/src/acaciaramp/routing/checks.py
+++ b/src/acaciaramp/routing/checks.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import collections
 from typing import TYPE_CHECKING
 
 from acaciaramp.errors import AcaciarampError
+from acaciaramp.util.findings import Finding, Severity, duplicates
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from acaciaramp.ids import ServiceName
     from acaciaramp.routing.model import Route, RoutingTable
 
@@ -33,42 +31,49 @@
     Raises:
         InvalidTableError: The table has errors; it lists all of them.
     """
+    mistakes = [str(finding) for finding in find_errors(table)]
+    if mistakes:
+        raise InvalidTableError(mistakes)
+
+
+def find_errors(table: RoutingTable) -> list[Finding]:
+    """Return what makes a table invalid."""
     services = {service.name for service in table.services}
-    mistakes = [
-        mistake
+    findings = [
+        _error(f'route "{route.name}"', text)
         for route in table.routes
-        for mistake in _check_route(route, services)
+        for text in _check_route(route, services)
     ]
-    mistakes += [
-        f'two routes serve {location}'
-        for location in _duplicates(
+    findings += [
+        _error('routes', f'two routes serve {location}')
+        for location in duplicates(
             f'{item.host}{item.prefix}' for item in table.routes
         )
     ]
-    if _duplicates(key for item in table.workspaces for key in item.keys):
-        mistakes.append('a key belongs to more than one workspace')
-    mistakes += [
-        f'the workspace "{name}" is described twice'
-        for name in _duplicates(item.name for item in table.workspaces)
+    if duplicates(key for item in table.workspaces for key in item.keys):
+        findings.append(
+            _error('workspaces', 'a key belongs to more than one workspace')
+        )
+    findings += [
+        _error('workspaces', f'the workspace "{name}" is described twice')
+        for name in duplicates(item.name for item in table.workspaces)
     ]
-    if mistakes:
-        raise InvalidTableError(mistakes)
+    return findings
 
 
 def _check_route(route: Route, services: set[ServiceName]) -> list[str]:
-    mistakes = [
-        f'route "{route.name}": there is no service "{target.service}"'
+    texts = [
+        f'there is no service "{target.service}"'
         for target in route.targets
         if target.service not in services
     ]
     weights = [target.weight for target in route.targets]
     if min(weights, default=0) < 0 or sum(weights) <= 0:
-        mistakes.append(f'route "{route.name}": its weights are not positive')
+        texts.append('its weights are not positive')
     if route.timeout_ms <= 0:
-        mistakes.append(f'route "{route.name}": its timeout is not positive')
-    return mistakes
+        texts.append('its timeout is not positive')
+    return texts
 
 
-def _duplicates(keys: Iterable[str]) -> list[str]:
-    counts = collections.Counter(keys)
-    return [key for key, count in counts.items() if count > 1]
+def _error(place: str, text: str) -> Finding:
+    return Finding(place, text, Severity.ERROR)
--- /dev/null
+++ b/tests/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of acaciaramp.cmd."""
