Take the ledger's time only while the replica serves

Cause: a replica that has started but not yet applied its log took the time of the first sender as that of the ledger, so that a sender whose clock is ahead would let everything expire early once the replica led.

Change: a command is stamped only by a replica that serves; others refuse it.

--- a/src/acaciaramp/conversations/replica.py
+++ b/src/acaciaramp/conversations/replica.py
@@ -103,8 +103,10 @@
     async def _propose(
         self, command: OpenTurn | CloseTurn
     ) -> OpenReply | CloseReply:
-        stamped = self._time.stamp(command, self.group.replica.term)
-        reply = await self.group.propose_for_caller(_encode(stamped))
+        # Only a replica that serves knows the ledger's time; others refuse.
+        if self.group.is_serving:
+            command = self._time.stamp(command, self.group.replica.term)
+        reply = await self.group.propose_for_caller(_encode(command))
         if not isinstance(reply, (OpenReply, CloseReply)):
             raise CallError(ErrorCode.INTERNAL, 'a command gave no reply')
         if isinstance(reply, OpenReply):
--- a/tests/conversations/test_ledger_time.py
+++ b/tests/conversations/test_ledger_time.py
@@ -29,6 +29,7 @@
     TurnKey,
 )
 from acaciaramp.conversations.replica import LedgerReplica
+from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import ProgramId
 from acaciaramp.metrics.client import Metrics
 from tests import builders as build
@@ -50,6 +51,7 @@
         ledger: The state machine.
         replica: The group itself, for its term.
         term: The term in which it leads.
+        is_serving: Whether it accepts commands.
     """
 
     def __init__(self) -> None:
@@ -57,9 +59,12 @@
         self.ledger = Ledger()
         self.replica = self
         self.term = 1
+        self.is_serving = True
 
     async def propose_for_caller(self, payload: bytes) -> object:
-        """Apply a command."""
+        """Apply a command if it accepts one."""
+        if not self.is_serving:
+            raise CallError(ErrorCode.NOT_LEADER, 'does not lead')
         return self.ledger.apply(payload)
 
 
@@ -154,6 +159,22 @@
     assert scene.knows('b', WALL_MS)
 
 
+def test_command_before_the_leader_is_ready_does_not_set_the_time() -> None:
+    # A leader that has just started has not applied its log yet.
+    scene = Scene()
+    scene.keep('a', WALL_MS)
+    scene.clock.advance(RETENTION_MS - 1)
+    state = scene.group.ledger.snapshot()
+    scene.group.ledger.restore(b'')
+    scene.group.is_serving = False
+    scene.change_leader()
+    with pytest.raises(CallError):
+        scene.keep('refused', WALL_MS + 2 * RETENTION_MS)
+    scene.group.ledger.restore(state)
+    scene.group.is_serving = True
+    assert scene.knows('a', WALL_MS)
+
+
 def test_account_outlives_a_jump_longer_than_its_retention() -> None:
     # A program whose account is dropped gets its whole budget again.
     scene = Scene()
