--- a/tests/replication/test_disk_failure.py
+++ b/tests/replication/test_disk_failure.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
+import itertools
 import pathlib
+import random
 import tempfile
 from typing import TYPE_CHECKING
 
@@ -133,7 +136,7 @@
         await wait_until(lambda: has_only_voters(first, 'a', 'b', 'c'))
         return first
 
-    def other_leader(self, group: Group) -> Group | None:
+    def other_leader(self, group: Group | None) -> Group | None:
         """Return another group that leads, if there is one."""
         leaders = [
             item
@@ -301,3 +304,55 @@
         assert cluster.recorders['b'].applied == [b'1', b'2']
 
     run(scenario)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_random_full_disks_lose_and_repeat_no_command(seed: int) -> None:
+    rng = random.Random(seed)
+    acknowledged: list[bytes] = []
+
+    async def propose_once(cluster: DiskCluster, command: bytes) -> None:
+        for group in list(cluster.groups.values()):
+            # Only a command that was certainly not proposed is proposed again.
+            with contextlib.suppress(NotLeaderError):
+                await group.propose(command)
+                acknowledged.append(command)
+                return
+
+    async def propose(cluster: DiskCluster) -> None:
+        for number in itertools.count():
+            with contextlib.suppress(LeadershipLostError):
+                await propose_once(cluster, b'%d' % number)
+            await anyio.sleep(0.005)
+
+    async def scenario(cluster: DiskCluster, tasks: TaskGroup) -> None:
+        await cluster.start(tasks)
+        async with anyio.create_task_group() as load:
+            load.start_soon(propose, cluster)
+            for _ in range(6):
+                # At most one disk at a time: two others keep a majority.
+                disk = cluster.disks[rng.choice('abc')]
+                disk.tears_writes = rng.random() < 0.5
+                disk.is_full = True
+                await anyio.sleep(rng.uniform(0, 0.4))
+                disk.is_full = False
+                await anyio.sleep(rng.uniform(0.3, 0.8))
+            load.cancel_scope.cancel()
+        recorders = list(cluster.recorders.values())
+        await wait_until(lambda: cluster.other_leader(None) is not None)
+        await wait_until(
+            lambda: (
+                recorders[0].applied
+                == recorders[1].applied
+                == recorders[2].applied
+            )
+        )
+        applied = recorders[0].applied
+        assert len(acknowledged) > 20
+        # A command without an acknowledgement may have run as well, but once.
+        assert len(applied) == len(set(applied))
+        assert [item for item in applied if item in set(acknowledged)] == (
+            acknowledged
+        )
+
+    run(scenario)
