--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -263,7 +263,7 @@
             active = [
                 endpoint
                 for endpoint in usable
-                if not self._is_paused(endpoint, now_ms)
+                if not _is_paused(self._states.get(endpoint.id), now_ms)
             ]
         warm_id = self._warm_id(query)
         if self._finish.applies_to(usable):
@@ -425,10 +425,6 @@
             pause_ms=backoff_ms,
         )
 
-    def _is_paused(self, endpoint: Endpoint, now_ms: int) -> bool:
-        state = self._states.get(endpoint.id)
-        return state is not None and state.paused_until_ms > now_ms
-
     def _candidates(
         self, query: EndpointQuery, *, ignores_evacuation: bool = False
     ) -> list[Endpoint]:
@@ -513,6 +509,10 @@
             )
 
 
+def _is_paused(state: _EndpointState | None, now_ms: int) -> bool:
+    return state is not None and state.paused_until_ms > now_ms
+
+
 def _is_same_start(first: Endpoint, second: Endpoint) -> bool:
     """Return whether two entries of one id are of the same start."""
     return _start(first) == _start(second)
--- a/tests/forwarding/test_service_load.py
+++ b/tests/forwarding/test_service_load.py
@@ -34,7 +34,7 @@
 def test_the_load_of_a_service_is_that_of_recent_reports() -> None:
     """Guards against admission by endpoints that nothing is known of."""
     clock = ManualClock()
-    load, selector = make_load(clock, *'abcd')
+    load, selector = make_load(clock, 'a', 'b', 'c', 'd')
     listed = selector.staying()
     service = listed[0].service
     assert not load.pressure_of(service).is_known
