Never end a forwarded request for the share of its connection

Cause: a connection over its share was closed without a check whether its request may have been forwarded. While forwarded requests exceeded their part, each byte that was freed searched all connections. Content of streams that is kept to be stored counted nowhere, and a 408 for late headers had no Retry-After.

Change: only what may be evicted is evicted for its share; the search runs only if something grew; kept content of streams counts in the budget; 408 has Retry-After.

The two tests of the budget failed with the search, and with the check, taken out.

--- a/src/acaciaramp/forwarding/buffers.py
+++ b/src/acaciaramp/forwarding/buffers.py
@@ -42,13 +42,14 @@
         """
         if self._held_bytes + size > self._most_bytes:
             raise too_long_error(self._most_bytes)
-        self._count(size)
+        self.count(size)
 
     def remove(self, size: int) -> None:
         """Count bytes whose buffer is not needed any more."""
-        self._count(-size)
+        self.count(-size)
 
-    def _count(self, size: int) -> None:
+    def count(self, size: int) -> None:
+        """Count bytes that have another limit; negative if they are freed."""
         self._held_bytes += size
         self._holder.size = self._held_bytes
         if self._account is not None:
--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -56,10 +56,11 @@
                 before its end is sent to the caller. If it fails, the caller
                 does not get a complete response.
         """
-        keeps_content = (
+        self._keeps_content = (
             call.turn is not None and call.turn.plan.retention_ms > 0
         )
-        self.events = EventCollector(keeps_content=keeps_content)
+        self._kept_bytes = 0
+        self.events = EventCollector(keeps_content=self._keeps_content)
         self.status = 0
         self._call = call
         self._caller = caller
@@ -89,7 +90,10 @@
         """
         self.status = head.status
         if self._call.route.kind is RouteKind.STREAMING and self.is_success:
-            await self._stream(head, resp)
+            try:
+                await self._stream(head, resp)
+            finally:
+                self._buffers.count(-self._kept_bytes)
             return
         with ResponseBuffer(self._buffers) as buffer:
             async for part in iter_body(resp):
@@ -135,6 +139,9 @@
         await self._caller.finish(last)
 
     def _feed_events(self, part: bytes) -> None:
+        if self._keeps_content:
+            self._kept_bytes += len(part)
+            self._buffers.count(len(part))
         try:
             self.events.feed(part)
         except StreamTooLargeError as exc:
--- a/src/acaciaramp/util/caller_budget.py
+++ b/src/acaciaramp/util/caller_budget.py
@@ -233,8 +233,12 @@
 
     def update(self, holder: Holder, account: Account) -> None:
         """Take over what a holder holds and evict holders while needed."""
+        before_bytes = account.held_bytes
         self._set(account, holder.held_bytes())
-        if account.held_bytes > self.limits.most_connection_bytes:
+        if account.held_bytes <= before_bytes:
+            return
+        most_bytes = self.limits.most_connection_bytes
+        if account.held_bytes > most_bytes and holder.is_evictable():
             self._evict(holder, account)
         if self._is_exceeded():
             self._refresh()
--- a/src/acaciaramp/util/header_limits.py
+++ b/src/acaciaramp/util/header_limits.py
@@ -5,14 +5,17 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from acaciaramp.clock import MS_PER_SECOND
-from acaciaramp.util.http_protocol import RejectedError, RequestProtocol
+from acaciaramp.util.http_protocol import (
+    TIMEOUT,
+    RejectedError,
+    RequestProtocol,
+)
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
 
 _HEADERS_TOO_LARGE = b'431 Request Header Fields Too Large'
-_TIMEOUT = b'408 Request Timeout'
 
 
 class HeaderLimits(NamedTuple):
@@ -102,7 +105,7 @@
         )
 
     def _on_header_timeout(self) -> None:
-        self.reject(_TIMEOUT, 'the headers did not come in time')
+        self.reject(TIMEOUT, 'the headers did not come in time')
 
     def _cancel_header_timer(self) -> None:
         if self._header_timer is not None:
--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -30,6 +30,8 @@
 
 
 BAD_REQUEST = b'400 Bad Request'
+TIMEOUT = b'408 Request Timeout'
+_NOT_RUN = frozenset((TIMEOUT, UNAVAILABLE))
 _UPGRADE = b'upgrade'
 _CONNECT = b'CONNECT'
 # Extension of ASGI scopes with the target of the request.
@@ -224,9 +226,9 @@
         if self._rejection is not None or self.transport.is_closing():
             return
         headers, body = self.rejection_body(message)
-        if status == UNAVAILABLE:
+        if status in _NOT_RUN:
             headers += _retry_after()
-        else:
+        if status != UNAVAILABLE:
             self.record_rejection(message)
         self._rejection = _rejection_head(status, headers, len(body)) + body
         self._drop_incomplete_head()
--- a/tests/forwarding/test_buffers.py
+++ b/tests/forwarding/test_buffers.py
@@ -31,3 +31,12 @@
         with pytest.raises(EndpointError):
             second.append(101 * b'x')
         second.append(100 * b'x')
+
+
+def test_other_bytes_count_without_a_limit_of_their_own() -> None:
+    budget = make_budget(1_000)
+    limit = BufferLimit(budget=budget)
+    limit.count(900)
+    assert budget.total_bytes == 900
+    limit.count(-900)
+    assert budget.total_bytes == 0
--- a/tests/util/test_caller_budget.py
+++ b/tests/util/test_caller_budget.py
@@ -25,6 +25,7 @@
         forwarded: Whether its request has been forwarded.
         ending: Whether its last response was sent.
         evictions: Number of times that it was evicted.
+        counted: Number of times that its bytes were counted.
     """
 
     def __init__(self, size: int = 0) -> None:
@@ -33,8 +34,10 @@
         self.forwarded = False
         self.ending = False
         self.evictions = 0
+        self.counted = 0
 
     def held_bytes(self) -> int:
+        self.counted += 1
         return self.size
 
     def is_evictable(self) -> bool:
@@ -107,9 +110,27 @@
     assert first.evictions == second.evictions == 0
 
 
+# Guards against a search of all connections for each part that arrives or is
+# freed while forwarded requests, which cannot be ended, exceed their part.
+def test_freeing_bytes_does_not_search_all_connections() -> None:
+    fixture = Fixture()
+    forwarded = fixture.hold(200 * KIB, forwarded=True)
+    other = fixture.hold(110 * KIB, forwarded=True)
+    small = fixture.hold(20 * KIB)
+    forwarded.size = 240 * KIB
+    fixture.budget._accounts[forwarded].update()
+    counted = other.counted
+    small.size = 10 * KIB
+    fixture.budget._accounts[small].update()
+    assert other.counted == counted
+    assert not fixture.closures
+
+
 def test_one_connection_holds_no_more_than_its_share() -> None:
     fixture = Fixture()
     assert fixture.hold(251 * KIB).evictions == 1
+    # A request that may have been forwarded is not ended for it.
+    assert fixture.hold(251 * KIB, forwarded=True).evictions == 0
 
 
 def test_the_connection_without_progress_for_longest_makes_room() -> None:
--- a/tests/util/test_http_budget.py
+++ b/tests/util/test_http_budget.py
@@ -14,6 +14,7 @@
     CallerBudget,
     CloseReason,
 )
+from acaciaramp.util.header_limits import HeaderLimitProtocol, HeaderLimits
 from acaciaramp.util.held_bytes import MAX_UNREAD_BYTES
 from acaciaramp.util.http_protocol import RequestProtocol
 from tests.util.connections import (
@@ -92,6 +93,20 @@
     assert [len(request[-1]) for request in app.received] == [300_000]
 
 
+def test_headers_that_do_not_come_in_time_get_advice_to_retry() -> None:
+    limits = HeaderLimits(most_bytes=1_000, longest_ms=10)
+    protocol = functools.partial(HeaderLimitProtocol, lambda: limits)
+
+    async def scenario() -> bytes:
+        async with connected(RecordingApp(), protocol) as stream:
+            await stream.send(b'GET / HTTP/1.1\r\n')
+            return await read_to_end(stream)
+
+    response = anyio.run(scenario)
+    assert response.startswith(b'HTTP/1.1 408 ')
+    assert b'\r\nretry-after: 0.' in response
+
+
 def test_headers_without_room_are_refused() -> None:
     fixture = Fixture(BudgetLimits(most_bytes=50_000))
 
