Do not ask for a body that was rejected

Cause: a request that expects 100-continue and whose body was rejected before its application began wrote "100 Continue" after the end of the connection's output, which failed the request with an internal error in the log.

Change: a dropped request does not ask for its body any more.

--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -296,6 +296,8 @@
             return
         cycle = self._unfinished.pop()
         self._held.drop_newest()
+        # Otherwise the body would still be asked for.
+        cycle.waiting_for_100_continue = False
         cycle.body.clear()
         cycle.disconnected = True
         cycle.message_event.set()
--- a/tests/util/test_http_rejections.py
+++ b/tests/util/test_http_rejections.py
@@ -141,6 +141,28 @@
     assert anyio.run(scenario).endswith(b'4\r\nhalf\r\n')
 
 
+# Guards against an interim response that is written after the rejection, which
+# fails the request with an internal error.
+def test_a_rejected_body_is_not_asked_for() -> None:
+    failures: list[Exception] = []
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        try:
+            assert (await receive())['type'] == 'http.disconnect'
+        except Exception as exc:
+            failures.append(exc)
+
+    async def scenario() -> bytes:
+        async with connected(app, RequestProtocol) as stream:
+            head, _, chunk = _CHUNK.partition(b'\r\n\r\n')
+            expect = b'\r\nexpect: 100-continue\r\n\r\n'
+            await stream.send(head + expect + chunk + _MALFORMED)
+            return await read_to_end(stream)
+
+    assert anyio.run(scenario).startswith(b'HTTP/1.1 400 ')
+    assert not failures
+
+
 # Guards against a response that is lost as the connection is reset.
 @pytest.mark.parametrize(('protocol', 'rejected', 'status'), _REJECTED)
 def test_responses_arrive_though_bytes_follow_a_rejected_request(
