--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -60,10 +60,11 @@
                 before its end is sent to the caller. If it fails, the caller
                 does not get a complete response.
         """
-        keeps_content = (
+        self._keeps_content = (
             call.turn is not None and call.turn.plan.retention_ms > 0
         )
-        self.events = EventCollector(keeps_content=keeps_content)
+        self._kept_bytes = 0
+        self.events = EventCollector(keeps_content=self._keeps_content)
         self.status = 0
         self.timing: ResponseTiming | None = None
         self._call = call
@@ -96,7 +97,10 @@
         is_bodiless = head.status in _BODILESS_STATUSES
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if is_stream and self.is_success and not is_bodiless:
-            await self._stream(head, resp)
+            try:
+                await self._stream(head, resp)
+            finally:
+                self._buffers.count(-self._kept_bytes)
             return
         with ResponseBuffer(self._buffers) as buffer:
             async for part in iter_body(resp):
@@ -162,6 +166,9 @@
             self.timing.record_part(self.events.events)
 
     def _feed_events(self, part: bytes) -> None:
+        if self._keeps_content:
+            self._kept_bytes += len(part)
+            self._buffers.count(len(part))
         try:
             self.events.feed(part)
         except StreamTooLargeError as exc:
