Close links to entries that are gone, and bound what an entry sends of loads

Cause: entries have links to each other since they exchange loads, and a link to an instance that is gone went on to connect for ever. News had no bound in bytes. A kvCapacity that is no whole number would have rejected a whole config. Change: Links.close ends a link; the exchange closes those of entries that a settled view lacks, and keeps them while a new leader's view is not settled. Large news go to fewer peers of the zone (1,200 bytes a push). kvCapacity may be any number or null.

--- a/src/acaciaramp/forwarding/load_exchange.py
+++ b/src/acaciaramp/forwarding/load_exchange.py
@@ -52,6 +52,9 @@
 _MIN_PUSH_MS = 100
 _MAX_PUSH_MS = 200
 _MAX_PEERS = 16
+# Bytes of one push to all its peers, so that a busy instance sends up to 8 KB/s; it
+# sends larger news to fewer peers.
+_MAX_PUSH_BYTES = 1_200
 # Bytes between zones are expensive.
 _DIGEST_PERIOD_MS = 500
 # News of other zones go to so many peers, which pass them on: to send them to a
@@ -125,13 +128,24 @@
         return {Channel.LOADS: self.handle}
 
     def replace_peers(self, view: View) -> None:
-        """Take the other entry instances of a view as peers."""
+        """Take the other entry instances of a view as peers.
+
+        Those that are gone are kept until the view is settled: the view of a
+        new leader lacks instances that have not reported to it yet.
+        """
         zones = zip(view.entries, view.entry_zones, strict=False)
-        self._peers = {
+        peers = {
             instance: self._peers.get(instance, _Peer(instance, zone))
             for instance, zone in zones
             if instance != self._node.instance
         }
+        gone = self._peers.keys() - peers.keys()
+        if not view.is_settled:
+            peers = self._peers | peers
+            gone = set()
+        self._peers = peers
+        for instance in gone:
+            self._links.close(instance)
 
     async def run(self) -> None:
         """Push news until cancelled."""
@@ -191,12 +205,13 @@
         """Push own observations to some peers and to the exchanging one."""
         if not near:
             return
-        news = own.take(NewsKind.ZONE, self._clock.now_ms())
-        targets = self._rng.sample(near, min(len(near), _MAX_PEERS))
+        body = encode_news(own.take(NewsKind.ZONE, self._clock.now_ms()))
+        affordable = max(1, _MAX_PUSH_BYTES // len(body))
+        targets = self._rng.sample(near, min(len(near), _MAX_PEERS, affordable))
         exchanging = _preferred(near)
         if exchanging not in targets:
             targets[0] = exchanging
-        self._send_all(targets, news)
+        self._send_all(targets, body)
 
     def _push_relays(self, near: Sequence[_Peer]) -> None:
         """Push news of other zones to some peers, which pass them on."""
@@ -205,7 +220,8 @@
         for number, head in enumerate(peers[:_RELAY_HEADS]):
             followers = peers[number + _RELAY_HEADS :: _RELAY_HEADS]
             names = tuple(peer.instance for peer in followers)
-            self._send_all([head], msgspec.structs.replace(news, pass_on=names))
+            relay = msgspec.structs.replace(news, pass_on=names)
+            self._send_all([head], encode_news(relay))
 
     def _pass_on(self, news: LoadNews) -> None:
         followers = [
@@ -213,9 +229,8 @@
             for instance in news.pass_on
             if instance in self._peers
         ]
-        self._send_all(
-            self._usable(followers), msgspec.structs.replace(news, pass_on=())
-        )
+        relay = msgspec.structs.replace(news, pass_on=())
+        self._send_all(self._usable(followers), encode_news(relay))
 
     def _push_digest(self) -> None:
         """Push the digest of this zone to the instances that exchange them."""
@@ -229,7 +244,7 @@
         by_zone.pop(self._node.availability_zone, None)
         self._send_all(
             [_preferred(peers) for peers in by_zone.values()],
-            self._digest.take(NewsKind.DIGEST, now_ms),
+            encode_news(self._digest.take(NewsKind.DIGEST, now_ms)),
         )
 
     def _zone_peers(self) -> list[_Peer]:
@@ -261,8 +276,7 @@
         self._was_exchanging = exchanges
         return exchanges
 
-    def _send_all(self, targets: Sequence[_Peer], news: LoadNews) -> None:
-        body = encode_news(news)
+    def _send_all(self, targets: Sequence[_Peer], body: bytes) -> None:
         for peer in targets:
             if not peer.is_pending:
                 peer.is_pending = True
--- a/src/acaciaramp/peering/links.py
+++ b/src/acaciaramp/peering/links.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from acaciaramp.peering.link import DEFAULT_TIMING, Link, LinkTiming
 from acaciaramp.peering.server import Address
 
@@ -38,6 +40,7 @@
         self._tasks = tasks
         self._timing = timing
         self._links: dict[InstanceId, Link] = {}
+        self._scopes: dict[InstanceId, anyio.CancelScope] = {}
 
     def get(self, instance: InstanceId) -> Link:
         """Return the link to an instance; the first call opens it.
@@ -55,6 +58,21 @@
                 self.metrics,
                 self._timing,
             )
+            scope = anyio.CancelScope()
             self._links[instance] = link
-            self._tasks.start_soon(link.run)
+            self._scopes[instance] = scope
+            self._tasks.start_soon(_run, link, scope)
         return link
+
+    def close(self, instance: InstanceId) -> None:
+        """Close the link to an instance that is gone; it connects no more.
+
+        Requests that wait for it end at their timeout.
+        """
+        if self._links.pop(instance, None) is not None:
+            self._scopes.pop(instance).cancel()
+
+
+async def _run(link: Link, scope: anyio.CancelScope) -> None:
+    with scope:
+        await link.run()
--- a/src/acaciaramp/platform/config.py
+++ b/src/acaciaramp/platform/config.py
@@ -17,6 +17,7 @@
 )
 
 _MS_PER_SECOND = 1000
+_MAX_CACHE_TOKENS = 1_000_000_000
 
 
 class _SplitPart(msgspec.Struct):
@@ -54,7 +55,7 @@
     """
 
     chunk_tokens: int = 0
-    kv_capacity: int = 0
+    kv_capacity: float | None = None
 
 
 class _Service(msgspec.Struct, rename='camel', kw_only=True):
@@ -144,10 +145,17 @@
         name=ServiceName(wire.name),
         most_connections=wire.max_conns,
         tokens_per_event=0 if engine is None else engine.chunk_tokens,
-        cache_tokens=0 if engine is None else engine.kv_capacity,
+        cache_tokens=_cache_tokens(engine),
     )
 
 
+def _cache_tokens(engine: _Engine | None) -> int:
+    """Return the memory of an endpoint; 0 if it is not stated."""
+    if engine is None or engine.kv_capacity is None:
+        return 0
+    return max(0, int(min(engine.kv_capacity, _MAX_CACHE_TOKENS)))
+
+
 def _limits(wire: _Limits) -> TrafficLimits:
     return TrafficLimits(
         header_bytes=wire.max_header_bytes,
--- a/tests/forwarding/test_load_exchange.py
+++ b/tests/forwarding/test_load_exchange.py
@@ -80,6 +80,7 @@
         self.selector.replace_endpoints(ENDPOINTS)
         self.sent: list[tuple[InstanceId, LoadNews]] = []
         self.sent_bytes = 0
+        self.closed: list[InstanceId] = []
         self._fleet = fleet
         self.exchange = LoadExchange(
             node,
@@ -95,6 +96,10 @@
         """Return the link to an instance."""
         return FakeLink(self, target)
 
+    def close(self, target: InstanceId) -> None:
+        """Close the link to an instance."""
+        self.closed.append(target)
+
     async def send(self, target: InstanceId, body: bytes) -> bytes:
         """Send news to an instance."""
         self.sent.append((target, decode_news(body)))
@@ -344,6 +349,28 @@
     assert fleet['a-00'].knows(2)
 
 
+@with_tasks
+async def test_links_to_instances_that_are_gone_are_closed(
+    tasks: TaskGroup,
+) -> None:
+    """Guards against connection attempts to all addresses there ever were."""
+    fleet = Fleet(tasks, a=3)
+    item = fleet['a-02']
+    without = View(entries=fleet.view.entries[1:], entry_zones=(item.zone,) * 2)
+    item.exchange.replace_peers(without)
+    assert not item.closed
+    item.observe(1)
+    await fleet.wait(250)
+    assert item.targets(NewsKind.ZONE) == {'a-00', 'a-01'}
+    settled = msgspec.structs.replace(without, is_settled=True)
+    item.exchange.replace_peers(settled)
+    assert item.closed == ['a-00']
+    item.sent.clear()
+    item.observe(2)
+    await fleet.wait(250)
+    assert item.targets(NewsKind.ZONE) == {'a-01'}
+
+
 @with_tasks
 async def test_nothing_is_sent_for_endpoints_that_state_no_duration(
     tasks: TaskGroup,
@@ -379,6 +406,23 @@
     assert sent[-1] < 10_000
 
 
+@with_tasks
+async def test_a_busy_entry_sends_large_news_to_fewer_peers(
+    tasks: TaskGroup,
+) -> None:
+    """40 entries in a zone, of which one forwards 100 requests per second."""
+    fleet = Fleet(tasks, a=40)
+    rng = random.Random(1)
+    item = fleet['a-07']
+    for _ in range(200):
+        number = rng.randrange(len(ENDPOINTS))
+        item.selector.record_start(ENDPOINTS[number], '')
+        item.observe(number)
+        await fleet.wait(10)
+    assert item.sent_bytes < 2 * 10_000
+    assert 'a-00' in item.targets(NewsKind.ZONE)
+
+
 @with_tasks
 async def test_late_repeated_and_false_news_change_nothing_else(
     tasks: TaskGroup,
--- a/tests/peering/test_link.py
+++ b/tests/peering/test_link.py
@@ -10,9 +10,11 @@
 
 from acaciaramp.clock import ManualClock, SystemClock
 from acaciaramp.errors import CallError, ErrorCode
+from acaciaramp.ids import InstanceId
 from acaciaramp.metrics.client import Metrics
 from acaciaramp.peering.framing import FrameStream
 from acaciaramp.peering.link import Link
+from acaciaramp.peering.links import Links
 from acaciaramp.peering.messages import (
     Channel,
     FrameError,
@@ -186,3 +188,34 @@
         error = error.exceptions[0]
     assert isinstance(error, CallError)
     return error
+
+
+def test_a_closed_link_ends_whether_or_not_it_is_connected() -> None:
+    """Guards against links that go on to connect to instances that are gone."""
+
+    async def scenario() -> None:
+        listening = Address(build.loopback_host(), 7000)
+        ids = [
+            InstanceId(f'{listening.host}:{listening.port}'),
+            InstanceId('127.0.0.1:1'),
+        ]
+        async with anyio.create_task_group() as servers:
+            await servers.start(
+                serve_peers, listening, {}, SystemClock(), Metrics()
+            )
+            async with anyio.create_task_group() as tasks:
+                links = Links(SystemClock(), Metrics(), tasks)
+                opened = [links.get(instance) for instance in ids]
+                while not opened[0].is_connected:
+                    await anyio.sleep(0.01)
+                for instance in ids:
+                    links.close(instance)
+                    links.close(instance)
+            assert not opened[0].is_connected
+            servers.cancel_scope.cancel()
+
+    async def main() -> None:
+        with anyio.fail_after(_WAIT_MS / 1_000):
+            await scenario()
+
+    anyio.run(main)
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -79,6 +79,19 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('stated', 'tokens'),
+    [(72_283.0, 72_283), (None, 0), (-1, 0), (1e300, 1_000_000_000)],
+)
+def test_the_cache_memory_of_an_engine_rejects_no_config(
+    stated: float | None, tokens: int
+) -> None:
+    engine = ENGINE | {'kvCapacity': stated}
+    services = [{'name': 'model', 'engine': engine}]
+    table = decode_table(config_json(services=services))
+    assert table.services[0].cache_tokens == tokens
+
+
 def test_split_route_has_several_targets() -> None:
     split = [
         {'service': 'model', 'weight': 90},
