Exchange the load of endpoints that state no duration, for admission

Cause: on the deployment that asks for admission control, endpoints report three figures. Change: with admission control, the board assumes the usual duration for endpoints that state none, so that their load is exchanged and they are ranked by the expected finish. Result: the new test fails without the assumption; tests of scheduling, forwarding, roles, platform and conversations pass.

--- a/src/acaciaramp/roles/entry_parts.py
+++ b/src/acaciaramp/roles/entry_parts.py
@@ -10,7 +10,10 @@
 from acaciaramp.conversations.turns import TurnManager
 from acaciaramp.forwarding.load_exchange import LoadExchange
 from acaciaramp.forwarding.selector import EndpointSelector
-from acaciaramp.scheduling.load_board import LoadBoard
+from acaciaramp.scheduling.load_board import (
+    USUAL_DURATION_PERCENT,
+    LoadBoard,
+)
 
 if TYPE_CHECKING:
     import random
@@ -49,7 +52,13 @@
         clock,
         rng,
         leaving_grace_ms=int(_LEAVING_GRACE_SHARE * cfg.bounds.drain_ms),
-        board=LoadBoard(clock, metrics),
+        board=LoadBoard(
+            clock,
+            metrics,
+            # Admission needs the load of all endpoints, also of those that do
+            # not state how long work takes.
+            USUAL_DURATION_PERCENT if cfg.has_admission_control else None,
+        ),
     )
 
 
--- a/src/acaciaramp/scheduling/load_board.py
+++ b/src/acaciaramp/scheduling/load_board.py
@@ -158,13 +158,21 @@
 class LoadBoard:
     """Load of all endpoints as far as this instance knows it."""
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        assumed_duration_percent: int | None = None,
+    ) -> None:
         """Create the board without any report.
 
         Args:
             clock: Source of time.
             metrics: Counts reports that are discarded as implausible.
+            assumed_duration_percent: Duration of work at endpoints that state
+                none; None to leave it open.
         """
+        self._assumed_duration_percent = assumed_duration_percent
         self._clock = clock
         self._metrics = metrics
         self._states: dict[str, EndpointState] = collections.defaultdict(
@@ -208,7 +216,7 @@
             return False
         if now_ms - report.observed_ms >= REPORT_MAX_AGE_MS:
             return False
-        self._apply(state, report)
+        self._apply(state, self._with_duration(report))
         self._changed.add(report.endpoint)
         starts = self._foreign_starts.get(report.endpoint, ())
         if is_own:
@@ -329,6 +337,14 @@
             known_share=len(known) / len(endpoint_ids),
         )
 
+    def _with_duration(self, report: LoadReport) -> LoadReport:
+        """Return a report with the assumed duration if it states none."""
+        if report.duration_percent is not None:
+            return report
+        return msgspec.structs.replace(
+            report, duration_percent=self._assumed_duration_percent
+        )
+
     def _apply(self, state: EndpointState, report: LoadReport) -> None:
         if report.duration_percent is not None:
             elapsed_ms = report.observed_ms - state.reported_ms
--- a/tests/scheduling/test_load_board.py
+++ b/tests/scheduling/test_load_board.py
@@ -44,6 +44,17 @@
     assert board.load_of('e-0').reported_ms == 400
 
 
+def test_an_assumed_duration_makes_every_report_news() -> None:
+    """Guards against entries that admit by the load of half of the endpoints."""
+    plain, _ = board_at(500)
+    plain.record(report(duration_percent=None, observed_ms=400))
+    assert not plain.take_news()
+    assumed = LoadBoard(ManualClock(500), Metrics(), 100)
+    assumed.record(report(duration_percent=None, observed_ms=400))
+    assert [item.endpoint for item in assumed.take_news()] == ['e-0']
+    assert assumed.load_of('e-0').duration_percent == 100
+
+
 def test_a_report_that_arrives_twice_counts_requests_sent_since_once() -> None:
     board, clock = board_at(500)
     board.record(report(observed_ms=400), is_own=False)
