--- a/src/acaciaramp/forwarding/load_exchange.py
+++ b/src/acaciaramp/forwarding/load_exchange.py
@@ -49,8 +49,8 @@
 TIMEOUT_MS = 300
 # Pause between pushes within a zone, chosen at random so that instances do not
 # push at once.
-_MIN_PUSH_MS = 100
-_MAX_PUSH_MS = 200
+_MIN_PUSH_MS = 150
+_MAX_PUSH_MS = 250
 _MAX_PEERS = 16
 # Bytes of one push to all its peers, so that a busy instance sends up to 8 KB/s; it
 # sends larger news to fewer peers.
--- a/src/acaciaramp/forwarding/overload.py
+++ b/src/acaciaramp/forwarding/overload.py
@@ -65,6 +65,8 @@
 _PRESSURE_MS = 5
 # Load reports fade without an event that would wake the waiters.
 _WAKE_INTERVAL_MS = 25
+# Most of the time nobody waits, and each wake-up of a process costs time.
+_IDLE_INTERVAL_MS = 100
 
 
 class ServiceLoad(Protocol):
@@ -291,7 +293,12 @@
     async def run(self) -> None:
         """Wake waiters for whom the load was only estimated, until cancelled."""
         while True:
-            await self._clock.sleep_ms(_WAKE_INTERVAL_MS)
+            has_waiters = any(
+                len(item.queue) for item in self._services.values()
+            )
+            await self._clock.sleep_ms(
+                _WAKE_INTERVAL_MS if has_waiters else _IDLE_INTERVAL_MS
+            )
             for service in self._services:
                 self.wake(service)
 
