Exchange the load of endpoints only where the settings ask for it

Change: the setting exchange_loads, false by default. Without it an entry decides by what it has heard itself, as before.

--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -175,7 +175,8 @@
         """Serve until ``stop`` is set, then drain the requests in flight."""
         context = self._context
         context.tasks.start_soon(context.serve_peers, self._loads.handlers)
-        context.tasks.start_soon(self._loads.run)
+        if context.cfg.exchange_loads:
+            context.tasks.start_soon(self._loads.run)
         context.tasks.start_soon(self._follower.run)
         context.tasks.start_soon(self._run_ticks)
         if self._overload is not None:
--- a/src/acaciaramp/roles/entry_parts.py
+++ b/src/acaciaramp/roles/entry_parts.py
@@ -57,7 +57,9 @@
             metrics,
             # Admission needs the load of all endpoints, also of those that do
             # not state how long work takes.
-            USUAL_DURATION_PERCENT if cfg.has_admission_control else None,
+            USUAL_DURATION_PERCENT
+            if cfg.exchange_loads and cfg.has_admission_control
+            else None,
         ),
     )
 
--- a/src/acaciaramp/settings/node.py
+++ b/src/acaciaramp/settings/node.py
@@ -107,6 +107,8 @@
         bounds: Time limits that the deployment guarantees.
         contracts: Optional parts that the deployment asks for; unknown ones are
             ignored. A platform without them may write null.
+        exchange_loads: Whether entry instances tell each other the load of
+            endpoints.
         memory_mb: Memory of the process, 10^6 bytes, from which the bounds on
             what is held for callers follow; None for 128.
         max_descriptors: Descriptors of the process, from which the bound on
@@ -134,6 +136,7 @@
     memory_mb: _PositiveInt | None = None
     max_descriptors: _PositiveInt | None = None
     contracts: tuple[str, ...] | None = ()
+    exchange_loads: bool = False
 
     @property
     def has_admission_control(self) -> bool:
--- a/src/acaciaramp/util/held_bytes.py
+++ b/src/acaciaramp/util/held_bytes.py
@@ -14,7 +14,7 @@
 
 UNAVAILABLE = b'503 Service Unavailable'
 # Memory of the objects for a request, and for each of its headers, beside the
-# bytes that were received (measured with CPython 3.11).
+# bytes that were received, in CPython 3.11.
 _REQUEST_BYTES = 2_560
 _HEADER_BYTES = 160
 # A caller that reads more slowly than its response arrives is cut off beyond this:
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -68,6 +68,15 @@
     assert cfg.has_admission_control is expected
 
 
+def test_loads_are_exchanged_only_if_the_settings_say_so(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against its processor time on fleets that did not ask for it."""
+    assert not load_node_settings(write_settings(tmp_path)).exchange_loads
+    path = write_settings(tmp_path, exchange_loads=True)
+    assert load_node_settings(path).exchange_loads
+
+
 def test_memory_and_descriptors_are_optional(tmp_path: pathlib.Path) -> None:
     cfg = load_node_settings(write_settings(tmp_path))
     assert (cfg.memory_mb, cfg.max_descriptors) == (None, None)
