review: Show crashes of workers that reset no connection

Workers went on to be crashed by a request for good, as none of its crashes was counted.

Cause: only a connection that is lost counts as a crash; where the worker falls silent, the time limit of the request comes first.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # so that compiling them is all there is to do.
 set -eu
 cd "$(dirname "$0")"
-for folder in harness2 7 8 9; do
+for folder in harness2 7 8 9 10; do
     python3 -m compileall -q "$folder"
 done
--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -27,6 +27,8 @@
 HELD = 0
 NOT_RUN = 2
 _READY_S = 30
+# Longer than a silent worker is away.
+_SILENCE_S = 60
 _BOUNDS = {
     'seedLagS': 3,
     'reuseAfterS': 2,
@@ -371,7 +373,7 @@
 
     Attributes:
         id: Id of its present lifetime.
-        is_up: Whether it accepts connections.
+        is_silent: Whether it answers nothing, though its channels stay open.
         runs: Requests that it began to run, as (time, attempt, path).
         on_run: Called with the worker and each request that begins to run; if it
             returns true, nothing is answered.
@@ -387,7 +389,7 @@
         self.zone = list(_ZONES)[number % len(_ZONES)]
         self.number = number
         self.id = ''
-        self.is_up = False
+        self.is_silent = False
         self.runs = []
         self.on_run = None
         self.stream = None
@@ -408,7 +410,7 @@
         self._server = await asyncio.start_server(
             self._serve, self.address, self.port
         )
-        self.is_up = True
+        self.is_silent = False
         self.list('ready')
         self._deployment.record.write(
             f'worker {self.number} of {self.service} starts as {self.id}'
@@ -436,7 +438,6 @@
 
     def end(self):
         """End the lifetime: all connections are reset."""
-        self.is_up = False
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -461,6 +462,9 @@
                 req = await read_request(reader)
                 if req is None:
                     break
+                if self.is_silent:
+                    await asyncio.sleep(_SILENCE_S)
+                    break
                 self._busy.add(writer)
                 await self._handle(req, writer)
                 self._busy.discard(writer)
