--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -667,9 +667,18 @@
     """
     record = Record(folder)
     record.write(f'trouble: {TROUBLE}')
+
+    async def run():
+        # Stopped from outside, the case still ends what it has started.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(case(record), 115)
+
     try:
-        status = asyncio.run(asyncio.wait_for(case(record), 115))
-    except (CannotRunError, TimeoutError) as exc:
+        status = asyncio.run(run())
+    except (CannotRunError, TimeoutError, asyncio.CancelledError) as exc:
         record.write(f'the case could not run: {exc!r}')
         status = NOT_RUN
     record.write(
