Tell turns of different conversations apart in the quarantine

Callers saw: turns with a short input that is common ("Yes, please.") were refused with 503 "requests like this one have crashed endpoints", though they belonged to conversations that no endpoint had seen fail.

Cause: the digest by which requests are counted had the workspace, the target and the body that the caller sent. On a route that retains turns this is the new input only; the endpoint gets the whole chain before it.

The digest has the continued turn as well, so that two turns are equal only if the endpoint gets the same bytes.

--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -151,16 +151,27 @@
         return Verdict.NOT_RUN
 
     def digest(self) -> str:
-        """Return a hash that equal requests of one workspace share."""
-        text = b'\0'.join(
-            (
-                (self.workspace or '').encode(),
-                self.inbound.target,
-                self.inbound.body,
-            )
-        )
+        """Return a hash that equal requests of one workspace share.
+
+        Endpoints get the body of a turn after its chain, so that turns with the
+        same input are equal only if they continue the same turn.
+        """
+        parts = [
+            (self.workspace or '').encode(),
+            self.inbound.target,
+            self.inbound.body,
+        ]
+        if self._continued_turn is not None:
+            parts.append(self._continued_turn.encode())
+        text = b'\0'.join(parts)
         return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
 
+    @property
+    def _continued_turn(self) -> str | None:
+        if self.route.kind is not RouteKind.STREAMING:
+            return None
+        return self.inbound.turn.previous
+
     @property
     def _cache_tokens(self) -> int:
         service = self.services.get(self.service)
