Count a lost connection as a crash only if its endpoint has ended

Cause: each connection that was lost during a request was reported as a crash of its endpoint. A reset by the network, an endpoint with too many connections and a partition look the same.

A lost connection is a suspicion now. It is reported once the lifetime of the endpoint has ended: it refuses two connections, or the instance list has a later start of it or has it no more. Endpoints that respond to later requests, or are leaving, are cleared.

--- a/src/acaciaramp/endpoints/dialing.py
+++ b/src/acaciaramp/endpoints/dialing.py
@@ -8,7 +8,11 @@
 import httpcore
 
 from acaciaramp.clock import MS_PER_SECOND
-from acaciaramp.endpoints.failures import EndpointError, Failure
+from acaciaramp.endpoints.failures import (
+    ConnectionRefused,
+    EndpointError,
+    Failure,
+)
 from acaciaramp.verdicts import Verdict
 
 # A connection is reset if sent data is not acknowledged for this long.
@@ -78,7 +82,8 @@
         timeout_ms: Time limit, milliseconds.
 
     Raises:
-        EndpointError: There is no connection; nothing was sent.
+        EndpointError: There is no connection; nothing was sent. It is a
+            ``ConnectionRefused`` if the host has said so.
     """
     try:
         return await _backend.connect_tcp(
@@ -88,8 +93,17 @@
             socket_options=SOCKET_OPTIONS,
         )
     except NETWORK_ERRORS as exc:
-        raise EndpointError(
+        error_type = ConnectionRefused if _is_refused(exc) else EndpointError
+        raise error_type(
             Failure.CONNECT,
             Verdict.NOT_RUN,
             f'no connection to the endpoint: {type(exc).__name__}',
         ) from None
+
+
+def _is_refused(exc: BaseException) -> bool:
+    """Return whether a refused connection is among the causes of an error."""
+    cause: BaseException | None = exc
+    while cause is not None and not isinstance(cause, ConnectionRefusedError):
+        cause = cause.__cause__
+    return cause is not None
--- a/src/acaciaramp/endpoints/failures.py
+++ b/src/acaciaramp/endpoints/failures.py
@@ -62,3 +62,7 @@
         super().__init__(message)
         self.failure = failure
         self.verdict = verdict
+
+
+class ConnectionRefused(EndpointError):
+    """The host of an endpoint has refused a connection: nothing listens there."""
--- /dev/null
+++ b/src/acaciaramp/forwarding/crashes.py
@@ -0,0 +1,232 @@
+"""Decides which failed attempts count as crashes of endpoints.
+
+A lost connection alone is no crash: a reset, a cut network or an endpoint with too
+many connections looks the same to the attempt. A request is taken to have crashed its
+endpoint once the lifetime of that endpoint ends after the attempt has failed:
+
+- the endpoint refuses new connections, or
+- the instance list has a later start of it, or does not have it any more.
+
+An endpoint that has said that it is leaving ends as planned, and one that responds
+to a later request did not end with the earlier one.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+import msgspec
+
+from acaciaramp.coordination.messages import Endpoint
+from acaciaramp.util.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from acaciaramp.clock import Clock
+    from acaciaramp.ids import EndpointId
+
+    RefusesConnections = Callable[[Endpoint], Awaitable[bool]]
+    ReportCrash = Callable[['Crash'], None]
+
+logger = get_logger('crashes')
+
+_TICK_MS = 100
+# An endpoint that has crashed is away for seconds; one that only resets
+# connections accepts the next one.
+_REFUSALS_OF_CRASHED = 2
+_PAUSE_OF_DIALS_MS = 200
+_MAX_DIALS_AT_ONCE = 8
+# Endpoints that have crashed stay on the instance list for some seconds.
+_SUSPICION_MS = 15_000
+_MAX_SUSPECTED_ENDPOINTS = 256
+_MAX_SUSPECTED_REQUESTS = 64
+
+
+class Lifetime(NamedTuple):
+    """One lifetime of an endpoint.
+
+    Attributes:
+        endpoint: Id of the endpoint, which may be used again.
+        born_ms: Wall-clock time of its start in milliseconds; 0 if unknown.
+    """
+
+    endpoint: EndpointId
+    born_ms: int
+
+
+class Crash(NamedTuple):
+    """A request that has crashed an endpoint.
+
+    Attributes:
+        digest: Digest of the request.
+        lifetime: Lifetime of the endpoint that ended.
+    """
+
+    digest: str
+    lifetime: Lifetime
+
+
+class _Suspect(msgspec.Struct):
+    """An endpoint whose lifetime may have ended.
+
+    Attributes:
+        endpoint: The endpoint as listed when the attempt failed.
+        failed_ms: When the last attempt failed, by digest of the request.
+        dial_ms: When it is dialled next; None if it is not.
+        refusals: Connections in a row that it has refused since.
+        answered_ms: Time up to which its responses show that it lived.
+        end: Why its lifetime is taken as ended; empty while it is not.
+    """
+
+    endpoint: Endpoint
+    failed_ms: dict[str, int] = {}
+    dial_ms: int | None = None
+    refusals: int = 0
+    answered_ms: int = -1
+    end: str = ''
+
+    def unanswered(self) -> list[str]:
+        """Return the requests that failed after its last response."""
+        return [
+            digest
+            for digest, at_ms in self.failed_ms.items()
+            if at_ms >= self.answered_ms
+        ]
+
+
+class CrashWatch:
+    """Watches endpoints at which attempts have failed, until it is clear why."""
+
+    def __init__(
+        self,
+        refuses_connections: RefusesConnections,
+        report: ReportCrash,
+        clock: Clock,
+    ) -> None:
+        """Create the watch without suspects; ``run`` starts it.
+
+        Args:
+            refuses_connections: Opens a connection to an endpoint; returns
+                whether the endpoint has refused it.
+            report: Called once for each request and lifetime.
+            clock: Source of time.
+        """
+        self._refuses_connections = refuses_connections
+        self._report = report
+        self._clock = clock
+        self._suspects: dict[Lifetime, _Suspect] = {}
+        self._leaving: set[Lifetime] = set()
+
+    def suspect(self, digest: str, endpoint: Endpoint) -> None:
+        """Record that the connection of a request was lost."""
+        lifetime = _lifetime_of(endpoint)
+        if endpoint.is_leaving or lifetime in self._leaving:
+            return
+        suspect = self._suspects.pop(lifetime, None) or _Suspect(endpoint)
+        # The endpoint with the newest failure is the last one to be dropped.
+        self._suspects[lifetime] = suspect
+        if len(self._suspects) > _MAX_SUSPECTED_ENDPOINTS:
+            self._suspects.pop(next(iter(self._suspects)))
+        now_ms = self._clock.now_ms()
+        suspect.failed_ms.pop(digest, None)
+        suspect.failed_ms[digest] = now_ms
+        if len(suspect.failed_ms) > _MAX_SUSPECTED_REQUESTS:
+            suspect.failed_ms.pop(next(iter(suspect.failed_ms)))
+        if suspect.end:
+            self._report(Crash(digest, lifetime))
+        elif suspect.dial_ms is None:
+            suspect.dial_ms = now_ms
+            suspect.refusals = 0
+
+    def record_response(self, endpoint: Endpoint, sent_ms: int) -> None:
+        """Record that an endpoint has responded to a request.
+
+        Args:
+            endpoint: The endpoint.
+            sent_ms: When the request was sent.
+        """
+        suspect = self._suspects.get(_lifetime_of(endpoint))
+        if suspect is not None:
+            suspect.answered_ms = max(suspect.answered_ms, sent_ms)
+
+    def record_leaving(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint is leaving: its end will be planned."""
+        lifetime = _lifetime_of(endpoint)
+        self._leaving.add(lifetime)
+        self._suspects.pop(lifetime, None)
+
+    def observe(self, endpoints: Iterable[Endpoint]) -> None:
+        """Compare the suspects with a new instance list."""
+        listed = {endpoint.id: endpoint for endpoint in endpoints}
+        self._leaving &= set(map(_lifetime_of, listed.values()))
+        for lifetime, suspect in list(self._suspects.items()):
+            found = listed.get(lifetime.endpoint)
+            if found is None:
+                self._record_end(suspect, suspect.unanswered(), 'unlisted')
+            elif lifetime.born_ms and found.born_ms > lifetime.born_ms:
+                # A response after the failure may be of the later lifetime.
+                self._record_end(suspect, list(suspect.failed_ms), 'restarted')
+            elif found.is_leaving:
+                self.record_leaving(suspect.endpoint)
+
+    async def run(self) -> None:
+        """Dial suspects and forget old ones, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(_TICK_MS)
+            if self._suspects:
+                await self.check()
+
+    async def check(self) -> None:
+        """Dial the suspects that are due; forget those that are too old."""
+        now_ms = self._clock.now_ms()
+        self._drop_old(now_ms - _SUSPICION_MS)
+        due = [
+            suspect
+            for suspect in self._suspects.values()
+            if suspect.dial_ms is not None and suspect.dial_ms <= now_ms
+        ]
+        async with anyio.create_task_group() as tasks:
+            for suspect in due[:_MAX_DIALS_AT_ONCE]:
+                tasks.start_soon(self._dial, suspect)
+
+    async def _dial(self, suspect: _Suspect) -> None:
+        if not await self._refuses_connections(suspect.endpoint):
+            # It lives, or it is back already: the list tells which.
+            suspect.dial_ms = None
+            return
+        suspect.refusals += 1
+        suspect.dial_ms = self._clock.now_ms() + _PAUSE_OF_DIALS_MS
+        if suspect.refusals >= _REFUSALS_OF_CRASHED:
+            suspect.dial_ms = None
+            self._record_end(suspect, suspect.unanswered(), 'refused')
+
+    def _record_end(
+        self, suspect: _Suspect, digests: list[str], reason: str
+    ) -> None:
+        """Report the requests that failed with the lifetime of an endpoint."""
+        if suspect.end or not digests:
+            return
+        suspect.end = reason
+        suspect.dial_ms = None
+        lifetime = _lifetime_of(suspect.endpoint)
+        logger.warning(
+            'An endpoint has ended after attempts at it failed; reporting its '
+            'requests as those that may have crashed it.',
+            endpoint=lifetime.endpoint,
+            born_ms=lifetime.born_ms,
+            end=reason,
+            digests=digests,
+        )
+        for digest in digests:
+            self._report(Crash(digest, lifetime))
+
+    def _drop_old(self, oldest_ms: int) -> None:
+        for lifetime, suspect in list(self._suspects.items()):
+            if max(suspect.failed_ms.values()) < oldest_ms:
+                self._suspects.pop(lifetime)
+
+
+def _lifetime_of(endpoint: Endpoint) -> Lifetime:
+    return Lifetime(endpoint.id, endpoint.born_ms)
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -14,13 +14,12 @@
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.chooser import EndpointChooser
     from acaciaramp.forwarding.connections import Connection, ConnectionPool
+    from acaciaramp.forwarding.crashes import CrashWatch
     from acaciaramp.forwarding.dialer import Dialer
     from acaciaramp.forwarding.endpoint_limits import EndpointLimits
     from acaciaramp.forwarding.messages import Codec, ResponseHead
@@ -49,7 +48,7 @@
         connections: ConnectionPool,
         clock: Clock,
         metrics: Metrics,
-        report_crash: Callable[[str, Endpoint], None],
+        crashes: CrashWatch,
         dialer: Dialer,
         reach: Reach,
     ) -> None:
@@ -63,8 +62,7 @@
             connections: Pool of connections to endpoints.
             clock: Source of time.
             metrics: Counts retries and invalid responses.
-            report_crash: Called with the digest of a request and the endpoint
-                whose connection failed during the request.
+            crashes: Decides which lost connections are crashes of endpoints.
             dialer: Knows whether endpoints can be reached at all.
             reach: Learns of requests that are sent directly.
         """
@@ -78,7 +76,7 @@
         self._endpoint_bytes = EndpointBytes()
         self._clock = clock
         self._metrics = metrics
-        self._report_crash = report_crash
+        self._crashes = crashes
 
     async def forward(self, call: Call, relay: Relay) -> None:
         """Forward a request and relay its response.
@@ -187,7 +185,8 @@
         Raises:
             EndpointError: The attempt failed.
         """
-        left_ms = call.deadline_ms - self._clock.now_ms()
+        sent_ms = self._clock.now_ms()
+        left_ms = call.deadline_ms - sent_ms
         if left_ms <= 0:
             raise EndpointError(
                 Failure.TIMEOUT, Verdict.NOT_RUN, 'no time is left to send it'
@@ -215,9 +214,10 @@
                 if conn.peer is None:
                     self._reach.record_heard(inbound.attempt)
                 head = self._codec.read_response(resp.status, resp.headers)
+                if head.attempt == inbound.attempt:
+                    self._crashes.record_response(endpoint, sent_ms)
                 self._check_response(call, endpoint, head)
                 if self._chooser.overload is not None:
-                    sent_ms = call.deadline_ms - left_ms
                     self._chooser.overload.record_response(
                         call, self._clock.now_ms() - sent_ms
                     )
@@ -258,6 +258,7 @@
             )
         if head.is_leaving:
             self._selector.record_leaving(endpoint)
+            self._crashes.record_leaving(endpoint)
         self._record_limit(endpoint, head)
         if head.load is not None:
             self._selector.record_load(endpoint, head.load)
@@ -284,7 +285,7 @@
     def _record_failure(
         self, call: Call, endpoint: Endpoint, exc: EndpointError
     ) -> None:
-        """Record a failed attempt; report a lost connection as a crash."""
+        """Record a failed attempt, which may have crashed the endpoint."""
         logger.warning(
             'An attempt at an endpoint failed; retrying it if that is safe.',
             attempt=call.inbound.attempt,
@@ -298,7 +299,7 @@
             self._selector.record_failure(endpoint, exc.failure.value)
         if exc.failure is Failure.CONNECTION_LOST:
             self._reach.suspect(endpoint.id)
-            self._report_crash(call.digest(), endpoint)
+            self._crashes.suspect(call.digest(), endpoint)
         if self._chooser.overload is not None:
             self._chooser.overload.record_failure(call, exc)
         call.is_sent = False
--- a/src/acaciaramp/roles/endpoint_paths.py
+++ b/src/acaciaramp/roles/endpoint_paths.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from acaciaramp.endpoints.dialing import dial
+from acaciaramp.endpoints.failures import ConnectionRefused, EndpointError
 from acaciaramp.forwarding.dialer import Dialer
-from acaciaramp.forwarding.reach import Reach
+from acaciaramp.forwarding.reach import DIAL_TIMEOUT_MS, Reach
 from acaciaramp.settings.node import split_address
 from acaciaramp.tunnels.client import PeerAddress
 from acaciaramp.tunnels.opener import TunnelOpener
@@ -14,7 +16,7 @@
 if TYPE_CHECKING:
     import random
 
-    from acaciaramp.coordination.messages import View
+    from acaciaramp.coordination.messages import Endpoint, View
     from acaciaramp.forwarding.selector import EndpointSelector
     from acaciaramp.roles.common import RoleContext
 
@@ -72,6 +74,19 @@
         if cfg.tunnel_port is not None:
             tasks.start_soon(self._server.serve, cfg.host, cfg.tunnel_port)
 
+    async def refuses_connections(self, endpoint: Endpoint) -> bool:
+        """Open a connection to an endpoint; return whether it was refused.
+
+        A refusal says nothing while this instance reaches no endpoint.
+        """
+        try:
+            stream = await dial(endpoint.host, endpoint.port, DIAL_TIMEOUT_MS)
+        except EndpointError as exc:
+            is_refused = isinstance(exc, ConnectionRefused)
+            return is_refused and not self.reach.is_lost
+        await stream.aclose()
+        return False
+
     @property
     def is_serving_peers(self) -> bool:
         """Whether tunnels of peers run through this instance."""
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -21,6 +21,7 @@
 from acaciaramp.forwarding.chooser import EndpointChooser
 from acaciaramp.forwarding.cold_endpoints import ColdEndpoints
 from acaciaramp.forwarding.connections import ConnectionPool
+from acaciaramp.forwarding.crashes import CrashWatch
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
@@ -47,6 +48,7 @@
     import anyio
 
     from acaciaramp.coordination.messages import Endpoint, View
+    from acaciaramp.forwarding.crashes import Crash
     from acaciaramp.ids import InstanceId, ServiceName
     from acaciaramp.roles.adapter import PlatformAdapter
     from acaciaramp.roles.common import RoleContext
@@ -109,6 +111,9 @@
             self._request_slot, context.clock, self._cold.per_s
         )
         self._paths = EndpointPaths(context, self._selector, rng)
+        self._crashes = CrashWatch(
+            self._paths.refuses_connections, self._report_crash, context.clock
+        )
         self._loads = make_load_exchange(context, self._selector, rng)
         self._connections = ConnectionPool(
             self._paths.dialer, context.clock, self._max_connections
@@ -147,7 +152,7 @@
                 self._connections,
                 context.clock,
                 context.metrics,
-                self._report_crash,
+                self._crashes,
                 self._paths.dialer,
                 self._paths.reach,
             ),
@@ -179,6 +184,7 @@
             context.tasks.start_soon(self._loads.run)
         context.tasks.start_soon(self._follower.run)
         context.tasks.start_soon(self._run_ticks)
+        context.tasks.start_soon(self._crashes.run)
         if self._overload is not None:
             context.tasks.start_soon(self._overload.run)
         self._paths.start()
@@ -333,20 +339,17 @@
         share = found.most_connections // max(1, self._entries)
         return max(_MIN_CONNECTIONS, share)
 
-    def _report_crash(self, digest: str, endpoint: Endpoint) -> None:
-        self._context.tasks.start_soon(
-            self._send_crash_report, digest, endpoint
-        )
+    def _report_crash(self, crash: Crash) -> None:
+        self._context.tasks.start_soon(self._send_crash_report, crash)
 
-    async def _send_crash_report(self, digest: str, endpoint: Endpoint) -> None:
+    async def _send_crash_report(self, crash: Crash) -> None:
+        report = CrashReport(crash.digest, crash.lifetime.endpoint)
         try:
-            await self._follower.request(
-                CrashReport(digest, endpoint.id), Done, _REPORT_TIMEOUT_MS
-            )
+            await self._follower.request(report, Done, _REPORT_TIMEOUT_MS)
         except CallError as exc:
             logger.warning(
                 'Could not report a crashed endpoint; the crash is not counted.',
-                digest=digest,
+                digest=crash.digest,
                 reason=exc,
             )
 
@@ -385,6 +388,7 @@
 
     def _replace_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         self._selector.replace_endpoints(endpoints)
+        self._crashes.observe(endpoints)
         self._cold.replace_endpoints(endpoints)
         self._limits.retain({endpoint.id for endpoint in endpoints})
 
