--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -12,6 +12,7 @@
     BegunStream,
     CloseReply,
     CloseTurn,
+    Content,
     LedgerCommand,
     OpenOutcome,
     OpenReply,
@@ -37,6 +38,13 @@
 EXPIRY_MARGIN_MS = 10_000
 # Expired state is removed once in so many commands.
 SWEEP_INTERVAL_COMMANDS = 256
+# Contents of turns over this size count as large ones.
+LARGE_CONTENT_BYTES = 65_536
+# Memory of an entry of each kind, besides the content of turns.
+_TURN_BYTES = 600
+_ACCOUNT_BYTES = 500
+_STREAM_BYTES = 500
+_ENDED_BYTES = 300
 _command_decoder = msgspec.msgpack.Decoder(LedgerCommand)
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -91,6 +99,8 @@
         self._streams: dict[TurnKey, BegunStream] = {}
         self._now_ms = 0
         self._commands = 0
+        self._content_bytes = 0
+        self._large_bytes = 0
 
     def apply(self, payload: bytes) -> OpenReply | CloseReply:
         """Apply an encoded command and return its reply."""
@@ -110,6 +120,42 @@
         """Time of the ledger at its last command; 0 before the first one."""
         return self._now_ms
 
+    @property
+    def held_bytes(self) -> int:
+        """Approximate memory of the state."""
+        return (
+            self._content_bytes
+            + _TURN_BYTES * len(self._turns)
+            + _ACCOUNT_BYTES * len(self._accounts)
+            + _STREAM_BYTES * len(self._streams)
+            + _ENDED_BYTES * len(self._ended)
+        )
+
+    @property
+    def large_bytes(self) -> int:
+        """Size of the contents of large turns."""
+        return self._large_bytes
+
+    @property
+    def commands_until_sweep(self) -> int:
+        """Number of commands until expired state is removed, at least 1."""
+        return (
+            SWEEP_INTERVAL_COMMANDS - self._commands % SWEEP_INTERVAL_COMMANDS
+        )
+
+    def expired_bytes(self, now_ms: int) -> int:
+        """Return the bytes of contents that a sweep at a time would remove.
+
+        Turns that are continued count as well, though they are kept until the
+        next sweep.
+        """
+        cutoff_ms = now_ms - EXPIRY_MARGIN_MS
+        return sum(
+            len(turn.content)
+            for turn in self._turns.values()
+            if turn.until_ms < cutoff_ms
+        )
+
     def snapshot(self) -> bytes:
         """Return the encoded state."""
         turns = [
@@ -136,6 +182,7 @@
         self._streams = {}
         self._now_ms = 0
         self._commands = 0
+        self._count_contents()
         if not state:
             return
         stored = _state_decoder.decode(state)
@@ -143,6 +190,7 @@
         self._commands = stored.commands
         for workspace, attempt, turn in stored.turns:
             self._turns[TurnKey(workspace, attempt)] = turn
+        self._count_contents()
         for owner, program, account in stored.accounts:
             self._accounts[owner, program] = account
         self._ended = dict(stored.ended)
@@ -154,7 +202,20 @@
         Returns:
             The concatenated contents; None if one of the turns is not stored.
         """
-        contents: list[bytes] = []
+        contents = self._contents_of(key)
+        return None if contents is None else b''.join(contents)
+
+    def chain_bytes(self, key: TurnKey) -> int:
+        """Return the size of a turn and its predecessors; 0 without one."""
+        return sum(map(len, self._contents_of(key) or ()))
+
+    def account(self, key: TurnKey, program: ProgramId) -> Account:
+        """Return the account of a program; create an empty one if missing."""
+        return self._accounts.setdefault((key.workspace, program), Account())
+
+    def _contents_of(self, key: TurnKey) -> list[Content] | None:
+        """Return the contents of a chain, oldest first; None if one is missing."""
+        contents: list[Content] = []
         following: str | None = key.attempt
         while following is not None:
             turn = self._turns.get(TurnKey(key.workspace, following))
@@ -162,11 +223,13 @@
                 return None
             contents.append(turn.content)
             following = turn.previous
-        return b''.join(reversed(contents))
+        contents.reverse()
+        return contents
 
-    def account(self, key: TurnKey, program: ProgramId) -> Account:
-        """Return the account of a program; create an empty one if missing."""
-        return self._accounts.setdefault((key.workspace, program), Account())
+    def _count_contents(self) -> None:
+        sizes = [len(turn.content) for turn in self._turns.values()]
+        self._content_bytes = sum(sizes)
+        self._large_bytes = sum(filter(_is_large, sizes))
 
     def _open(self, command: OpenTurn) -> OpenReply:
         key = command.turn
@@ -276,6 +339,10 @@
         previous = kept.previous
         if previous is None or TurnKey(key.workspace, previous) in self._turns:
             self._turns[key] = kept
+            size = len(kept.content)
+            self._content_bytes += size
+            if _is_large(size):
+                self._large_bytes += size
         return key in self._turns
 
     def _sweep(self) -> None:
@@ -294,6 +361,7 @@
             for key, turn in self._turns.items()
             if turn.until_ms >= turn_cutoff_ms or key in continued
         }
+        self._count_contents()
         ended_cutoff_ms = self._now_ms - ENDED_RETENTION_MS
         self._ended = {
             key: at_ms
@@ -311,3 +379,7 @@
             for key, account in self._accounts.items()
             if account.touched_ms >= account_cutoff_ms
         }
+
+
+def _is_large(content_bytes: int) -> bool:
+    return content_bytes > LARGE_CONTENT_BYTES
--- a/src/acaciaramp/conversations/ledger_time.py
+++ b/src/acaciaramp/conversations/ledger_time.py
@@ -35,6 +35,24 @@
         self._term = -1
         self._offset_ms = 0
 
+    def now_ms(self, term: int, sent_at_ms: int) -> int:
+        """Return the present time of the ledger.
+
+        An empty ledger takes the time of the first sender: an instance of a
+        build without this class, which may lead later, compares the ledger's
+        time with wall clocks.
+
+        Args:
+            term: The term of this leader.
+            sent_at_ms: Wall-clock time at the sender.
+        """
+        local_ms = self._clock.now_ms()
+        applied_ms = self._ledger.now_ms or sent_at_ms
+        if term != self._term or local_ms + self._offset_ms < applied_ms:
+            self._term = term
+            self._offset_ms = applied_ms - local_ms
+        return local_ms + self._offset_ms
+
     def stamp(
         self, command: OpenTurn | CloseTurn, term: int
     ) -> OpenTurn | CloseTurn:
@@ -44,7 +62,7 @@
             command: The command as its sender has stamped it.
             term: The term in which it is proposed.
         """
-        at_ms = self._now_ms(term, command.at_ms)
+        at_ms = self.now_ms(term, command.at_ms)
         shift_ms = at_ms - command.at_ms
         if isinstance(command, OpenTurn):
             begins = command.begins
@@ -59,21 +77,3 @@
                 kept, until_ms=kept.until_ms + shift_ms
             )
         return msgspec.structs.replace(command, at_ms=at_ms, kept=kept)
-
-    def _now_ms(self, term: int, sent_at_ms: int) -> int:
-        """Return the present time of the ledger.
-
-        An empty ledger takes the time of the first sender: an instance of a
-        build without this class, which may lead later, compares the ledger's
-        time with wall clocks.
-
-        Args:
-            term: The term of this leader.
-            sent_at_ms: Wall-clock time at the sender.
-        """
-        local_ms = self._clock.now_ms()
-        applied_ms = self._ledger.now_ms or sent_at_ms
-        if term != self._term or local_ms + self._offset_ms < applied_ms:
-            self._term = term
-            self._offset_ms = applied_ms - local_ms
-        return local_ms + self._offset_ms
--- a/src/acaciaramp/conversations/messages.py
+++ b/src/acaciaramp/conversations/messages.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from acaciaramp.ids import ProgramId, ServiceName, WorkspaceId
 from acaciaramp.replication import messages as msgs
 
+if TYPE_CHECKING:
+    Content = bytes | memoryview
+else:
+    # Decoded without a copy: the log entry or snapshot that holds it is in memory
+    # anyway.
+    Content = memoryview
+
 
 class TurnKey(msgspec.Struct, frozen=True):
     """Identifies a turn.
@@ -79,6 +87,8 @@
         resumes: Request id of the turn whose stream it resumes, if any.
         lasts_ms: Longest time until the turn is closed, milliseconds; 0 if it
             is not known.
+        keeps_bytes: Expected size of the content that is going to be stored; 0
+            if the turn is not retained.
     """
 
     turn: TurnKey
@@ -89,6 +99,7 @@
     begins: BegunStream | None = None
     resumes: str | None = None
     lasts_ms: int = 0
+    keeps_bytes: int = 0
 
 
 class RetainedTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -103,7 +114,7 @@
     """
 
     previous: str | None
-    content: bytes
+    content: Content
     until_ms: int
 
 
@@ -140,6 +151,8 @@
         UNKNOWN_TURN: The workspace has no stored turn with the previous id.
         ENDED: The turn was closed before; this command is a late duplicate.
         UNKNOWN_STREAM: No origin is stored of the stream to be resumed.
+        NO_ROOM: There is no memory for another turn.
+        TOO_LONG: The chain that it continues is too long to be sent.
     """
 
     OPENED = 'opened'
@@ -147,6 +160,8 @@
     UNKNOWN_TURN = 'unknown_turn'
     ENDED = 'ended'
     UNKNOWN_STREAM = 'unknown_stream'
+    NO_ROOM = 'no_room'
+    TOO_LONG = 'too_long'
 
 
 class OpenReply(msgspec.Struct, frozen=True, tag=True):
@@ -182,10 +197,12 @@
 
     Attributes:
         is_stored: Whether a retained turn is stored; it is not if the turn that
-            it continues has expired.
+            it continues has expired, or if there is no room.
+        has_room: Whether there was room for the turn.
     """
 
     is_stored: bool = True
+    has_room: bool = True
 
 
 class LedgerMessage(msgspec.Struct, frozen=True, tag=True):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -8,6 +8,7 @@
 
 from acaciaramp.conversations.messages import (
     BegunStream,
+    CloseReply,
     CloseTurn,
     OpenOutcome,
     OpenReply,
@@ -45,6 +46,14 @@
 _HOME_TIMEOUT_MS = 1_500
 # The ledger elects a new leader within about a second.
 LEDGER_RETRY_AFTER_MS = 500
+# Turns expire after a minute or more, so that room is more likely on a later try.
+_ROOM_RETRY_AFTER_MS = 1_000
+# Text of a token, with some allowance for other data of events.
+_BYTES_PER_TOKEN = 16
+_LEAST_OUTPUT_BYTES = 4_096
+
+
+_ROOM_OUTCOMES = frozenset((OpenOutcome.NO_ROOM, OpenOutcome.TOO_LONG))
 
 
 class TurnPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,7 +90,16 @@
     def needs_ledger(self) -> bool:
         """Whether the ledger has to be asked before the turn is sent."""
         has_stream = self.origin is not None or self.resumes is not None
-        return self._has_budget or has_stream or self.previous is not None
+        is_kept = self.retention_ms > 0 or self.previous is not None
+        return self._has_budget or has_stream or is_kept
+
+    @property
+    def keeps_bytes(self) -> int:
+        """Expected size of the content to store; 0 if it is not retained."""
+        if not self.retention_ms:
+            return 0
+        output_bytes = _BYTES_PER_TOKEN * self.most_tokens
+        return len(self.content) + max(_LEAST_OUTPUT_BYTES, output_bytes)
 
     @property
     def belongs_to_program(self) -> bool:
@@ -235,6 +253,7 @@
             begins=_begun_stream(plan, plan.origin, 1, at_ms),
             resumes=plan.resumes,
             lasts_ms=plan.timeout_ms + _COMMIT_TIMEOUT_MS,
+            keeps_bytes=plan.keeps_bytes,
         )
         try:
             reply = await self._ledger.open_turn(req, wait_ms)
@@ -249,6 +268,9 @@
             # Cancelled: the ledger may have reserved the tokens already.
             self.release(plan)
             raise
+        if reply.outcome in _ROOM_OUTCOMES:
+            # An earlier attempt may have been committed without a reply.
+            self.release(plan)
         if reply.outcome is not OpenOutcome.OPENED:
             raise _refusal(plan, reply)
         chain = reply.chain if cached is None else cached
@@ -319,11 +341,7 @@
             endpoint=result.endpoint,
         )
         reply = await self._ledger.close_turn(req, _COMMIT_TIMEOUT_MS)
-        if not reply.is_stored:
-            raise CallError(
-                ErrorCode.UNKNOWN_STEP,
-                f'the turn "{plan.previous}" that it continues has expired',
-            )
+        _check_stored(plan, reply)
         self._cache.put(plan.key, turn.chain + content)
 
     def settle(self, plan: TurnPlan, tokens: int, endpoint: str = '') -> None:
@@ -454,11 +472,7 @@
         )
         client = self._homes.client(home.region)
         reply = await client.close_turn(req, _COMMIT_TIMEOUT_MS)
-        if not reply.is_stored:
-            raise CallError(
-                ErrorCode.UNKNOWN_STEP,
-                f'the turn "{plan.previous}" that it continues has expired',
-            )
+        _check_stored(plan, reply)
         self.settle(plan, result.tokens, result.endpoint)
         if self._homes.may_cache(plan.regions):
             self._cache.put(plan.key, whole)
@@ -501,6 +515,23 @@
     return BegunStream(origin=origin, number=number, until_ms=until_ms)
 
 
+def _check_stored(plan: TurnPlan, reply: CloseReply) -> None:
+    """Check that the ledger has stored a turn.
+
+    Raises:
+        CallError: It has not.
+    """
+    if not reply.has_room:
+        raise CallError(
+            ErrorCode.LEDGER_FULL, 'the ledger has no room to store the turn'
+        )
+    if not reply.is_stored:
+        raise CallError(
+            ErrorCode.UNKNOWN_STEP,
+            f'the turn "{plan.previous}" that it continues has expired',
+        )
+
+
 def _refusal(plan: TurnPlan, reply: OpenReply) -> CallError:
     """Return the error for a turn that the ledger does not open."""
     match reply.outcome:
@@ -515,6 +546,17 @@
             return CallError(
                 ErrorCode.UNKNOWN_STEP, f'there is no turn "{plan.previous}"'
             )
+        case OpenOutcome.NO_ROOM:
+            return CallError(
+                ErrorCode.LEDGER_FULL,
+                'the ledger has no room for another turn of this size',
+                retry_after_ms=_ROOM_RETRY_AFTER_MS,
+            )
+        case OpenOutcome.TOO_LONG:
+            return CallError(
+                ErrorCode.BODY_TOO_LARGE,
+                f'the turns before it, since "{plan.previous}", are too long',
+            )
         case OpenOutcome.UNKNOWN_STREAM:
             return CallError(
                 ErrorCode.UNKNOWN_STREAM,
--- a/src/acaciaramp/errors.py
+++ b/src/acaciaramp/errors.py
@@ -50,6 +50,7 @@
     OUTCOME_UNKNOWN = 'outcome_unknown'
     STREAM_RESTARTED = 'stream_restarted'
     NOT_LEADER = 'not_leader'
+    LEDGER_FULL = 'ledger_full'
     HOME_UNREACHABLE = 'home_unreachable'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     CANCELLED = 'cancelled'
--- a/src/acaciaramp/peering/server.py
+++ b/src/acaciaramp/peering/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import contextvars
 import functools
 from collections.abc import Awaitable, Callable, Mapping
 from typing import TYPE_CHECKING, NamedTuple
@@ -46,6 +48,11 @@
 IDLE_TIMEOUT_MS = 10_000
 # Each instance of a deployment opens a link or two, and again after a failure.
 _CONNECTIONS_FRACTION = 0.2
+# What a handler holds until its reply was sent, of the request that is handled in
+# the current task.
+_held: contextvars.ContextVar[contextlib.AsyncExitStack] = (
+    contextvars.ContextVar('_held')
+)
 Handler = Callable[[bytes], Awaitable[bytes]]
 Handlers = Mapping[Channel, Handler]
 
@@ -139,6 +146,21 @@
         await listener.serve(gate.guard(accept))
 
 
+async def hold_until_replied(
+    resource: contextlib.AbstractAsyncContextManager[None],
+) -> None:
+    """Enter a context in a handler, and leave it once the reply was sent.
+
+    Outside a handler it is left at once.
+    """
+    stack = _held.get(None)
+    if stack is not None:
+        await stack.enter_async_context(resource)
+        return
+    async with resource:
+        return
+
+
 async def _accept_tls(
     plain: ByteStream,
     clock: Clock,
@@ -210,6 +232,14 @@
 
 async def _handle_request(
     frames: FrameStream, frame: RequestFrame, handlers: Handlers
+) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        _held.set(stack)
+        await _reply_to(frames, frame, handlers)
+
+
+async def _reply_to(
+    frames: FrameStream, frame: RequestFrame, handlers: Handlers
 ) -> None:
     body = b''
     refusal: Refusal | None = None
--- a/src/acaciaramp/replication/follower.py
+++ b/src/acaciaramp/replication/follower.py
@@ -121,7 +121,7 @@
             return
 
     def _install_snapshot(self, req: msgs.SnapshotPart) -> bool:
-        encoded = bytes(self._received_snapshot)
+        encoded = self._received_snapshot
         self._received_snapshot = bytearray()
         if zlib.crc32(encoded) != req.checksum:
             logger.warning(
--- a/src/acaciaramp/replication/leader.py
+++ b/src/acaciaramp/replication/leader.py
@@ -240,6 +240,7 @@
             else:
                 await state.clock.sleep_ms(state.timing.heartbeat_ms)
         self.progress.peers.pop(instance, None)
+        self.progress.drop_unused_snapshot()
 
     def _is_leading(self, term: int) -> bool:
         state = self._state
@@ -286,9 +287,9 @@
         self, instance: InstanceId, peer: Peer
     ) -> msgs.SnapshotPart:
         state = self._state
-        is_new = not peer.has_encoded(state.log.snapshot)
-        encoded = peer.encoded_snapshot(state.log.snapshot)
-        if is_new:
+        encoded = self.progress.encoded_snapshot(state.log.snapshot)
+        if peer.snapshot_index != state.log.snapshot.index:
+            peer.begin_snapshot(state.log.snapshot.index)
             logger.info(
                 'A member lacks entries that are compacted; sending it a snapshot.',
                 member=instance,
@@ -326,7 +327,8 @@
     def _record_match(self, peer: Peer, index: int) -> None:
         peer.match_index = max(peer.match_index, index)
         peer.next_index = peer.match_index + 1
-        peer.drop_snapshot()
+        peer.end_snapshot()
+        self.progress.drop_unused_snapshot()
         if peer.match_index >= self._state.commit:
             peer.is_lagging = False
         self._advance_commit()
--- a/src/acaciaramp/replication/progress.py
+++ b/src/acaciaramp/replication/progress.py
@@ -22,7 +22,9 @@
             before the first reply, when this progress was created.
         replica: The replica that replied, None before the first reply.
         is_lagging: Whether proposals no longer wait for it.
-        snapshot_offset: Number of bytes of the snapshot that it has received.
+        snapshot_index: Last index of the snapshot that is sent to it; None if
+            it gets entries.
+        snapshot_offset: Number of bytes of that snapshot that it has received.
     """
 
     def __init__(self, next_index: int, now_ms: int) -> None:
@@ -37,29 +39,17 @@
         self.last_contact_ms = now_ms
         self.replica: Member | None = None
         self.is_lagging = False
+        self.snapshot_index: int | None = None
         self.snapshot_offset = 0
-        self._encoded_index = 0
-        self._encoded = b''
-
-    def has_encoded(self, snapshot: Snapshot) -> bool:
-        """Return whether the transfer of a snapshot has begun."""
-        return self._encoded_index == snapshot.index
-
-    def encoded_snapshot(self, snapshot: Snapshot) -> bytes:
-        """Return the encoded snapshot, which is cached for all its parts.
 
-        A newer snapshot than the cached one restarts the transfer.
-        """
-        if not self.has_encoded(snapshot):
-            self._encoded = msgspec.msgpack.encode(snapshot)
-            self._encoded_index = snapshot.index
-            self.snapshot_offset = 0
-        return self._encoded
+    def begin_snapshot(self, index: int) -> None:
+        """Record that the transfer of another snapshot begins."""
+        self.snapshot_index = index
+        self.snapshot_offset = 0
 
-    def drop_snapshot(self) -> None:
-        """Free the cached encoding once the replica has the snapshot."""
-        self._encoded = b''
-        self._encoded_index = 0
+    def end_snapshot(self) -> None:
+        """Record that the replica has the snapshot."""
+        self.snapshot_index = None
         self.snapshot_offset = 0
 
 
@@ -80,6 +70,25 @@
         self.peers: dict[InstanceId, Peer] = {}
         self.synced_index = 0
         self._me = me
+        self._encoded_index: int | None = None
+        self._encoded = b''
+
+    def encoded_snapshot(self, snapshot: Snapshot) -> bytes:
+        """Return the encoded snapshot, which is cached for all its parts.
+
+        All replicas that are behind share it.
+        """
+        if self._encoded_index != snapshot.index:
+            self._encoded = b''
+            self._encoded = msgspec.msgpack.encode(snapshot)
+            self._encoded_index = snapshot.index
+        return self._encoded
+
+    def drop_unused_snapshot(self) -> None:
+        """Free the cached encoding if no replica gets a snapshot now."""
+        if all(peer.snapshot_index is None for peer in self.peers.values()):
+            self._encoded = b''
+            self._encoded_index = None
 
     def match_index_of(self, voter: Member) -> int:
         """Return the last index that a replica is known to have stored.
--- a/src/acaciaramp/replication/state.py
+++ b/src/acaciaramp/replication/state.py
@@ -161,6 +161,7 @@
         self._state_machine = state_machine
         self._changed = anyio.Event()
         self._is_stopped = False
+        self._applied_bytes = 0
         if snapshot.state:
             state_machine.restore(snapshot.state)
 
@@ -230,8 +231,7 @@
         while self.commit < min(commit, self.log.last_index):
             self.commit += 1
             self._apply_entry(self.log.entry(self.commit))
-        applied = self.commit - self.log.snapshot.index
-        if applied >= self.timing.compact_entries:
+        if self._is_compaction_due():
             self._compact_log()
         self.notify_waiters()
 
@@ -245,6 +245,7 @@
         self._state_machine.restore(snapshot.state)
         self.log.install_snapshot(snapshot)
         self.commit = snapshot.index
+        self._applied_bytes = 0
         remaining = self.log.entries_from(snapshot.index + 1)
         self.store.save_snapshot(snapshot, remaining)
 
@@ -270,12 +271,23 @@
         outcome: object = None
         if entry.kind is msgs.EntryKind.COMMAND:
             outcome = self._state_machine.apply(entry.payload)
+        self._applied_bytes += len(entry.payload)
         proposal = self.pending.pop(self.commit, None)
         if proposal is not None:
             proposal.resolve(entry.term, outcome)
 
+    def _is_compaction_due(self) -> bool:
+        applied = self.commit - self.log.snapshot.index
+        is_long = (
+            applied >= self.timing.compact_entries
+            or self._applied_bytes >= self.timing.compact_bytes
+        )
+        may_compact = self.timing.may_compact
+        return is_long and (may_compact is None or may_compact())
+
     def _compact_log(self) -> None:
         started_ms = self.clock.now_ms()
+        self._applied_bytes = 0
         snapshot = msgs.Snapshot(
             self.commit,
             self.log.term_at(self.commit) or 0,
--- a/src/acaciaramp/replication/timing.py
+++ b/src/acaciaramp/replication/timing.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 
 class Timing(msgspec.Struct, frozen=True, kw_only=True):
-    """Timeouts and intervals of a replicated log, in milliseconds.
+    """Timeouts of a replicated log, in milliseconds, and when it is compacted.
 
     Attributes:
         heartbeat_ms: Interval of the leader's heartbeats.
@@ -18,8 +20,12 @@
             the voters that do not have it yet.
         compact_entries: Number of applied entries after the snapshot at which
             the log is compacted.
+        compact_bytes: Bytes of applied entries after the snapshot at which it is
+            compacted though they are fewer; they are in memory and on the disk.
         retained_entries: Number of entries that are retained at that point, so
             that members which are a little behind need no snapshot.
+        may_compact: Returns whether there is memory for a snapshot; None if there
+            always is.
     """
 
     heartbeat_ms: int = 150
@@ -28,4 +34,6 @@
     request_ms: int = 1_000
     full_wait_ms: int = 50
     compact_entries: int = 2_000
+    compact_bytes: int = 8_388_608
     retained_entries: int = 1_000
+    may_compact: Callable[[], bool] | None = None
--- a/src/acaciaramp/roles/common.py
+++ b/src/acaciaramp/roles/common.py
@@ -5,6 +5,8 @@
 import secrets
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from acaciaramp.coordination.follower import Follower
 from acaciaramp.coordination.messages import Node
 from acaciaramp.ids import InstanceId
@@ -16,7 +18,11 @@
 from acaciaramp.peering.server import Address, PeerLimits, serve_peers
 from acaciaramp.replication.timing import Timing
 from acaciaramp.settings.node import split_address
-from acaciaramp.util.caller_budget import DEFAULT_MAX_DESCRIPTORS
+from acaciaramp.util.caller_budget import (
+    BYTES_PER_MB,
+    DEFAULT_MAX_DESCRIPTORS,
+    DEFAULT_MEMORY_MB,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,6 +56,8 @@
     full_wait_ms=0,
     compact_entries=3_000,
 )
+# Part of the memory for the entries of a log since its last snapshot.
+_LOG_FRACTION = 0.03
 
 
 class RoleContext:
@@ -95,6 +103,22 @@
             run=secrets.token_hex(_RUN_ID_BYTES),
         )
 
+    def log_timing(
+        self, may_compact: Callable[[], bool] | None = None
+    ) -> Timing:
+        """Return the timing of a replicated log here.
+
+        Args:
+            may_compact: Returns whether there is memory for a snapshot; None if
+                there always is.
+        """
+        memory_mb = self.cfg.memory_mb or DEFAULT_MEMORY_MB
+        return msgspec.structs.replace(
+            LOG_TIMING,
+            compact_bytes=int(memory_mb * BYTES_PER_MB * _LOG_FRACTION),
+            may_compact=may_compact,
+        )
+
     def seeds(self) -> list[InstanceId]:
         """Return the control instances that the settings file names now."""
         return seed_instances(self._file.current())
--- a/src/acaciaramp/roles/control.py
+++ b/src/acaciaramp/roles/control.py
@@ -25,7 +25,7 @@
 from acaciaramp.replication.errors import PeerError
 from acaciaramp.replication.group import Group
 from acaciaramp.replication.members import Member
-from acaciaramp.roles.common import LOG_TIMING, noop
+from acaciaramp.roles.common import noop
 from acaciaramp.settings.node import RoleName, split_address
 from acaciaramp.storage.store import DiskStore
 from acaciaramp.util.header_limits import HeaderLimitProtocol, HeaderLimits
@@ -75,7 +75,7 @@
             state_machine=state_machine,
             send=_make_sender(context.links),
             clock=context.clock,
-            timing=LOG_TIMING,
+            timing=context.log_timing(),
             tolerated_disk_losses=cfg.tolerated_faults,
             eligible=self._eligible,
             retiring=list,
--- a/src/acaciaramp/roles/home_storage.py
+++ b/src/acaciaramp/roles/home_storage.py
@@ -11,7 +11,6 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.replication.group import Group
 from acaciaramp.replication.members import Member
-from acaciaramp.roles.common import LOG_TIMING
 from acaciaramp.storage.store import DiskStore
 from acaciaramp.util.logs import get_logger
 
@@ -19,6 +18,7 @@
     from collections.abc import Sequence
 
     from acaciaramp.conversations.messages import HomeRequest
+    from acaciaramp.conversations.room import LedgerRoom
     from acaciaramp.coordination.homes import HomeLedger, HomeSeed
     from acaciaramp.coordination.messages import View
     from acaciaramp.ids import InstanceId
@@ -33,13 +33,15 @@
     Without home regions in the routing table nothing is created on the disk.
     """
 
-    def __init__(self, context: RoleContext) -> None:
+    def __init__(self, context: RoleContext, room: LedgerRoom) -> None:
         """Create it without a replica.
 
         Args:
             context: Dependencies that every role shares.
+            room: Room for the turns of all ledgers here.
         """
         self._context = context
+        self._room = room
         self._region = context.cfg.region
         self._home: HomeLedger | None = None
         self._retiring: tuple[InstanceId, ...] = ()
@@ -100,7 +102,7 @@
             state_machine=ledger,
             send=make_sender(context.links, self._region),
             clock=context.clock,
-            timing=LOG_TIMING,
+            timing=context.log_timing(self._room.may_compact),
             tolerated_disk_losses=seed.tolerated_losses,
             eligible=self._eligible,
             retiring=lambda: self._retiring,
@@ -116,7 +118,11 @@
             group.bootstrap()
         context.tasks.start_soon(group.run)
         context.tasks.start_soon(group.maintain_membership)
-        return LedgerReplica(group, ledger, context.clock, context.metrics)
+        replica = LedgerReplica(
+            group, ledger, self._room, context.clock, context.metrics
+        )
+        context.tasks.start_soon(replica.run)
+        return replica
 
     def _eligible(self) -> Sequence[InstanceId]:
         return () if self._home is None else self._home.storages
--- a/src/acaciaramp/roles/storage.py
+++ b/src/acaciaramp/roles/storage.py
@@ -7,10 +7,10 @@
 
 from acaciaramp.conversations.ledger import Ledger
 from acaciaramp.conversations.replica import LedgerReplica, make_sender
+from acaciaramp.conversations.room import LedgerRoom, RoomLimits
 from acaciaramp.peering.messages import Channel
 from acaciaramp.replication.group import Group
 from acaciaramp.replication.members import Member
-from acaciaramp.roles.common import LOG_TIMING
 from acaciaramp.roles.home_storage import HomeStorage
 from acaciaramp.storage.store import DiskStore
 from acaciaramp.util.logs import get_logger
@@ -37,21 +37,23 @@
         self._context = context
         store = DiskStore(pathlib.Path(cfg.data_folder or '') / 'ledger')
         ledger = Ledger()
+        room = LedgerRoom(RoomLimits.of_machine(cfg.memory_mb), context.clock)
         self._group = Group(
             me=Member(context.node.instance, store.incarnation),
             store=store,
             state_machine=ledger,
             send=make_sender(context.links),
             clock=context.clock,
-            timing=LOG_TIMING,
+            timing=context.log_timing(room.may_compact),
             tolerated_disk_losses=cfg.tolerated_faults,
             eligible=lambda: self._follower.view.storages,
             retiring=lambda: self._follower.view.retiring,
         )
-        self._home = HomeStorage(context)
+        self._home = HomeStorage(context, room)
         self._replica = LedgerReplica(
             self._group,
             ledger,
+            room,
             context.clock,
             context.metrics,
             self._home.handle,
@@ -68,6 +70,7 @@
         )
         context.tasks.start_soon(self._group.run)
         context.tasks.start_soon(self._group.maintain_membership)
+        context.tasks.start_soon(self._replica.run)
         context.tasks.start_soon(self._follower.run)
         await stop.wait()
         logger.info(
--- a/src/acaciaramp/storage/files.py
+++ b/src/acaciaramp/storage/files.py
@@ -5,23 +5,29 @@
 import os
 from typing import TYPE_CHECKING
 
-from acaciaramp.storage.journal import CorruptionError, encode_record, record_at
+from acaciaramp.storage.journal import CorruptionError, encode_header, record_at
 
 if TYPE_CHECKING:
     import pathlib
 
 
-def replace_file(path: pathlib.Path, content: bytes) -> None:
+def replace_file(path: pathlib.Path, *parts: bytes) -> None:
     """Replace the content of a file atomically and durably.
 
     After a crash the file has either the old content or the new one.
 
+    Args:
+        path: The file.
+        *parts: Parts of the content. A large one is not joined to the others.
+
     Raises:
         OSError: The disk is full or has failed.
     """
     new = path.with_suffix('.new')
     with new.open('wb') as file:
-        file.write(encode_record(content))
+        file.write(encode_header(*parts))
+        for part in parts:
+            file.write(part)
         file.flush()
         os.fsync(file.fileno())
     new.replace(path)
--- a/src/acaciaramp/storage/journal.py
+++ b/src/acaciaramp/storage/journal.py
@@ -21,6 +21,8 @@
 
 if TYPE_CHECKING:
     import pathlib
+    from collections.abc import Iterator
+    from typing import BinaryIO
 
 _MAGIC = b'ACRJ'
 # Magic, size of the payload in bytes, CRC-32 of the size and of the number of
@@ -125,33 +127,55 @@
         synced_bytes: Number of bytes at the start of the file that were synced
             before this record was written.
     """
-    size = len(record)
+    return encode_header(record, synced_bytes=synced_bytes) + record
+
+
+def encode_header(*parts: bytes, synced_bytes: int = 0) -> bytes:
+    """Return the header of a record.
+
+    Args:
+        *parts: The payload of the record, in parts.
+        synced_bytes: Number of bytes at the start of the file that were synced
+            before this record was written.
+    """
+    size = sum(map(len, parts))
+    checksum = 0
+    for part in parts:
+        checksum = zlib.crc32(part, checksum)
     header_checksum = zlib.crc32(b'%d %d' % (size, synced_bytes))
-    header = _HEADER.pack(
-        _MAGIC, size, header_checksum, zlib.crc32(record), synced_bytes
-    )
-    return header + record
+    return _HEADER.pack(_MAGIC, size, header_checksum, checksum, synced_bytes)
+
 
+def read_journal(path: pathlib.Path) -> Iterator[bytes]:
+    """Yield all records; truncate the file at an unsynced damaged one.
 
-def read_journal(path: pathlib.Path) -> list[bytes]:
-    """Return all records; truncate the file at an unsynced damaged one.
+    One record is in memory at a time.
 
     Raises:
         CorruptionError: A damaged record had been synced.
     """
     if not path.exists():
-        return []
-    content = path.read_bytes()
-    records = []
+        return
+    end = path.stat().st_size
     offset = 0
-    while offset < len(content):
-        record = record_at(content, offset)
-        if record is None:
-            _truncate_torn_tail(path, content, offset)
-            break
-        records.append(record)
-        offset += _HEADER.size + len(record)
-    return records
+    with path.open('rb') as file:
+        while offset < end:
+            record = _read_record(file)
+            if record is None:
+                break
+            yield record
+            offset += _HEADER.size + len(record)
+    if offset < end:
+        _truncate_torn_tail(path, offset)
+
+
+def _read_record(file: BinaryIO) -> bytes | None:
+    """Return the next record of a journal, None if it is damaged."""
+    header = file.read(_HEADER.size)
+    size = _size_of(header)
+    if size is None:
+        return None
+    return record_at(header + file.read(size), 0)
 
 
 def record_at(content: bytes, offset: int) -> bytes | None:
@@ -162,42 +186,48 @@
         offset: Where the header of the record starts, bytes.
     """
     header = content[offset : offset + _HEADER.size]
-    if len(header) < _HEADER.size:
-        return None
-    magic, size, header_checksum, checksum, synced_bytes = _HEADER.unpack(
-        header
-    )
-    if (
-        magic != _MAGIC
-        or zlib.crc32(b'%d %d' % (size, synced_bytes)) != header_checksum
-    ):
+    size = _size_of(header)
+    if size is None:
         return None
+    checksum = _HEADER.unpack(header)[3]
     start = offset + _HEADER.size
     record = content[start : start + size]
     is_intact = len(record) == size and zlib.crc32(record) == checksum
     return record if is_intact else None
 
 
-def _truncate_torn_tail(
-    path: pathlib.Path, content: bytes, offset: int
-) -> None:
+def _size_of(header: bytes) -> int | None:
+    """Return the size of the record that a header announces, None if damaged."""
+    if len(header) < _HEADER.size:
+        return None
+    magic, size, header_checksum, _, synced_bytes = _HEADER.unpack(header)
+    expected = zlib.crc32(b'%d %d' % (size, synced_bytes))
+    if magic != _MAGIC or header_checksum != expected:
+        return None
+    return int(size)
+
+
+def _truncate_torn_tail(path: pathlib.Path, offset: int) -> None:
     """Truncate the file at a damaged record that was never synced.
 
     Raises:
         CorruptionError: The damaged record had been synced: a later intact
             record counts it among the synced bytes.
     """
-    following = content.find(_MAGIC, offset + 1)
+    with path.open('rb') as file:
+        file.seek(offset)
+        tail = file.read()
+    following = tail.find(_MAGIC, 1)
     while following >= 0:
-        is_intact = record_at(content, following) is not None
-        if is_intact and _synced_bytes_at(content, following) > offset:
+        is_intact = record_at(tail, following) is not None
+        if is_intact and _synced_bytes_at(tail, following) > offset:
             raise CorruptionError(
                 f'{path}: the record at byte {offset} is damaged, although it '
-                f'had been synced before the one at byte {following} was '
-                'written; move the file away to let the replica start with '
+                f'had been synced before the one at byte {offset + following} '
+                'was written; move the file away to let the replica start with '
                 'empty state'
             )
-        following = content.find(_MAGIC, following + 1)
+        following = tail.find(_MAGIC, following + 1)
     with path.open('r+b') as torn:
         torn.truncate(offset)
         os.fsync(torn.fileno())
--- a/src/acaciaramp/storage/store.py
+++ b/src/acaciaramp/storage/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import struct
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -19,6 +20,10 @@
 # About as large as a full batch of entries, the usual upper bound of a single
 # write to the journal.
 _PROBE_BYTES = 65_536
+# Headers of a MessagePack byte string with a size of 32 bits, and of an empty one.
+_BYTES_HEADER = struct.Struct('>BI')
+_BYTES_TYPE = 0xC6
+_EMPTY_BYTES = b'\xc4\x00'
 _encode = msgspec.msgpack.Encoder().encode
 
 
@@ -72,12 +77,17 @@
         self._is_closed = False
         self.incarnation = self._load_incarnation()
         self._vote = Vote()
-        self._stored = self._recover()
+        self._stored: StoredState | None = self._recover()
         self._journal = Journal(self._journal_path)
 
     def load(self) -> StoredState:
-        """Return the state as it was when the store was opened."""
-        return self._stored
+        """Return the state as it was when the store was opened.
+
+        The store does not keep it: it may be large.
+        """
+        stored = self._stored or self._recover()
+        self._stored = None
+        return stored
 
     def save_vote(self, vote: Vote) -> None:
         """Write a vote, which replaces the previous one."""
@@ -102,7 +112,7 @@
         """
         if self._is_closed:
             raise OSError('the store is closed')
-        replace_file(self._snapshot_path, _encode(snapshot))
+        replace_file(self._snapshot_path, *_encode_snapshot(snapshot))
         self._start_journal(snapshot.index + 1, entries)
 
     async def sync(self) -> None:
@@ -136,6 +146,7 @@
         if store.incarnation != self.incarnation:
             raise CorruptionError(f'{self.folder}: the folder was replaced')
         stored = store.load()
+        store._stored = stored
         snapshot_index = stored.snapshot.index if stored.snapshot else 0
         store._start_journal(snapshot_index + 1, stored.entries)
         return store
@@ -172,10 +183,7 @@
         self._journal = journal
 
     def _recover(self) -> StoredState:
-        encoded = read_file(self._snapshot_path)
-        snapshot = None
-        if encoded is not None:
-            snapshot = msgspec.msgpack.decode(encoded, type=Snapshot)
+        snapshot = self._read_snapshot()
         snapshot_index = snapshot.index if snapshot else 0
         entries: list[Entry] = []
         for record in read_journal(self._journal_path):
@@ -184,6 +192,12 @@
             )
         return StoredState(self._vote, snapshot, entries)
 
+    def _read_snapshot(self) -> Snapshot | None:
+        encoded = read_file(self._snapshot_path)
+        if encoded is None:
+            return None
+        return msgspec.msgpack.decode(encoded, type=Snapshot)
+
     def _replay(
         self,
         record: EntriesRecord | VoteRecord,
@@ -220,3 +234,14 @@
     @property
     def _snapshot_path(self) -> pathlib.Path:
         return self.folder / 'snapshot'
+
+
+def _encode_snapshot(snapshot: Snapshot) -> tuple[bytes, bytes]:
+    """Return an encoded snapshot in two parts, the second one being its state.
+
+    The state is the last field and may be large; it is not copied.
+    """
+    state = snapshot.state
+    head = _encode(msgspec.structs.replace(snapshot, state=b''))
+    header = _BYTES_HEADER.pack(_BYTES_TYPE, len(state))
+    return head.removesuffix(_EMPTY_BYTES) + header, state
--- a/src/acaciaramp/util/caller_budget.py
+++ b/src/acaciaramp/util/caller_budget.py
@@ -18,7 +18,7 @@
 # none.
 DEFAULT_MEMORY_MB = 128
 DEFAULT_MAX_DESCRIPTORS = 4_100
-_BYTES_PER_MB = 1_000_000
+BYTES_PER_MB = 1_000_000
 # An idle process takes up to half of the memory, and copies of what is held the
 # rest.
 _BUDGET_FRACTION = 0.25
@@ -82,7 +82,7 @@
             memory_mb: Memory of the process; None for the default.
             max_descriptors: Descriptors of the process; None for the default.
         """
-        memory = (memory_mb or DEFAULT_MEMORY_MB) * _BYTES_PER_MB
+        memory = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
         descriptors = max_descriptors or DEFAULT_MAX_DESCRIPTORS
         most_bytes = int(memory * _BUDGET_FRACTION)
         return cls(
--- a/tests/conversations/test_formats.py
+++ b/tests/conversations/test_formats.py
@@ -1,6 +1,6 @@
 """Messages and snapshots of the landed build and of this one understand each other.
 
-The bytes were written by commit 0e6e07f.
+The bytes were written by commit 0e6e07f, those of later fields by ca34837.
 """
 
 from __future__ import annotations
@@ -54,6 +54,15 @@
     'a7736574746c656400a8726573657276656481a261321eaa746f75636865645f6d73cd0384'
     'a8656e64706f696e74a0a5656e64656490a8636f6d6d616e647302a773747265616d7390'
 )
+LANDED_LASTING_TURN = bytes.fromhex(
+    '89a474797065a84f70656e5475726ea47475726e82a9776f726b7370616365a177a7617474'
+    '656d7074a26132ab7265736572766174696f6ec0a870726576696f7573a26131a96861735f'
+    '636861696ec2a561745f6d73cd0384a6626567696e73c0a7726573756d6573c0a86c617374'
+    '735f6d73cd1770'
+)
+LANDED_NOT_STORED = bytes.fromhex(
+    '82a474797065aa436c6f73655265706c79a969735f73746f726564c2'
+)
 
 
 class LandedOpenTurn(msgspec.Struct, frozen=True, kw_only=True, tag='OpenTurn'):
@@ -66,11 +75,14 @@
     at_ms: int = 0
     begins: BegunStream | None = None
     resumes: str | None = None
+    lasts_ms: int = 0
 
 
 class LandedCloseReply(msgspec.Struct, frozen=True, tag='CloseReply'):
     """``CloseReply`` as the landed build decodes it."""
 
+    is_stored: bool = True
+
 
 def test_requests_of_the_landed_build_are_understood() -> None:
     decode = msgspec.msgpack.Decoder(LedgerRequest).decode
@@ -93,24 +105,32 @@
         at_ms=950,
         endpoint='e',
     )
+    assert decode(LANDED_LASTING_TURN) == OpenTurn(
+        turn=KEY, previous='a1', at_ms=900, lasts_ms=6_000
+    )
 
 
 def test_replies_of_the_landed_build_are_understood() -> None:
     decode = msgspec.msgpack.Decoder(LedgerReply).decode
     assert decode(LANDED_CLOSE_REPLY) == CloseReply(is_stored=True)
+    assert decode(LANDED_NOT_STORED) == CloseReply(is_stored=False)
     assert decode(LANDED_OPEN_REPLY) == OpenReply(
         OpenOutcome.OPENED, b'1', 30, is_new=True, endpoint='e'
     )
 
 
 def test_the_landed_build_understands_the_new_fields() -> None:
-    opening = OpenTurn(turn=KEY, previous='a1', at_ms=900, lasts_ms=6_000)
+    opening = OpenTurn(
+        turn=KEY, previous='a1', at_ms=900, lasts_ms=6_000, keeps_bytes=9
+    )
     landed = msgspec.msgpack.decode(
         msgspec.msgpack.encode(opening), type=LandedOpenTurn
     )
     assert (landed.turn, landed.previous, landed.at_ms) == (KEY, 'a1', 900)
-    reply = msgspec.msgpack.encode(CloseReply(is_stored=False))
-    assert msgspec.msgpack.decode(reply, type=LandedCloseReply)
+    assert landed.lasts_ms == 6_000
+    reply = msgspec.msgpack.encode(CloseReply(is_stored=False, has_room=False))
+    decoded = msgspec.msgpack.decode(reply, type=LandedCloseReply)
+    assert not decoded.is_stored
 
 
 def test_commands_and_snapshots_of_the_landed_build_are_applied() -> None:
--- a/tests/conversations/test_ledger_time.py
+++ b/tests/conversations/test_ledger_time.py
@@ -27,6 +27,7 @@
     TurnKey,
 )
 from acaciaramp.conversations.replica import LedgerReplica
+from acaciaramp.conversations.room import LedgerRoom, RoomLimits
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import ProgramId
 from acaciaramp.metrics.client import Metrics
@@ -109,9 +110,11 @@
         return reply.outcome is OpenOutcome.OPENED
 
     def _make_replica(self) -> LedgerReplica:
+        room = LedgerRoom(RoomLimits.of_machine(None), self.clock)
         return LedgerReplica(
             self.group,  # type: ignore[arg-type]
             self.group.ledger,
+            room,
             self.clock,
             Metrics(),
         )
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -15,6 +15,7 @@
 from acaciaramp.conversations.messages import (
     CloseReply,
     CloseTurn,
+    OpenOutcome,
     OpenReply,
     OpenTurn,
     TurnKey,
@@ -91,6 +92,7 @@
         state_machine: State machine of the ledger.
         is_down: Whether every request fails.
         stores_turns: Whether requests that store a turn succeed.
+        has_room: Whether turns are opened.
         closed: All CloseTurn commands, in order.
     """
 
@@ -99,11 +101,14 @@
         self.state_machine = Ledger()
         self.is_down = False
         self.stores_turns = True
+        self.has_room = True
         self.closed: list[CloseTurn] = []
 
     async def open_turn(self, req: OpenTurn, wait_ms: int) -> OpenReply:
-        """Apply the command unless the ledger is down."""
+        """Apply the command unless the ledger is down or full."""
         self._check()
+        if not self.has_room:
+            return OpenReply(OpenOutcome.NO_ROOM)
         reply = self.state_machine.apply(encode(req))
         assert isinstance(reply, OpenReply)
         return reply
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -569,6 +569,19 @@
     run(RETAINED, scenario, streamed)
 
 
+# Guards against turns that run though the ledger cannot store them.
+def test_a_retained_turn_is_refused_at_once_if_the_ledger_is_full() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        harness.ledger.has_room = False
+        caller = await harness.request('a1')
+        assert caller.status == 503
+        assert float(caller.headers[b'retry-after']) > 0
+        assert not fakes[0].received
+        assert harness.metrics.counts['refused.ledger_full'] == 1
+
+    run(RETAINED, scenario, streamed)
+
+
 def test_a_request_is_refused_while_the_ledger_is_down() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         harness.ledger.is_down = True
--- a/tests/memory/processes.py
+++ b/tests/memory/processes.py
@@ -30,6 +30,11 @@
 # or cached by the first ones is no growth.
 _WARM_UP_REQUESTS = 20
 _ROUTE_PATH = '/form'
+# The stand-in answers requests below this path with one event.
+STREAM_PATH = '/chat/'
+# Below this path it sends events without end.
+ENDLESS_PATH = '/endless/'
+_ENDLESS_EVENT = b'data: %s\n\n' % (65_528 * b'x')
 _OK = 200
 
 
@@ -116,24 +121,42 @@
     def do_GET(self) -> None:
         """Serve the list of endpoints."""
         host, port = self.connection.getsockname()
-        entry = {
-            'id': 'form-1',
-            'service': 'form',
-            'address': f'{host}:{port}',
-            'zone': 'north',
-            'slots': 64,
-            'state': 'ready',
-        }
-        self._respond(json.dumps({'instances': [entry], 'next': None}))
+        entries = [
+            {
+                'id': f'{service}-1',
+                'service': service,
+                'address': f'{host}:{port}',
+                'zone': 'north',
+                'slots': 64,
+                'state': 'ready',
+            }
+            for service in ('form', 'endless')
+        ]
+        self._respond(json.dumps({'instances': entries, 'next': None}))
 
     def do_POST(self) -> None:
         """Answer a request with the size of its body."""
         size = int(self.headers.get('content-length', 0))
-        self._respond(str(len(self.rfile.read(size))))
+        text = str(len(self.rfile.read(size)))
+        if self.path.startswith(ENDLESS_PATH):
+            self._send_without_end()
+            return
+        if self.path.startswith(STREAM_PATH):
+            text = f'data: {text}\n\n'
+        self._respond(text)
 
     def log_message(self, *_: Any) -> None:
         """Log nothing."""
 
+    def _send_without_end(self) -> None:
+        self.send_response(_OK)
+        self.send_header('X-Attempt-Id', self.headers.get('x-attempt-id', ''))
+        self.end_headers()
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            while True:
+                self.wfile.write(_ENDLESS_EVENT)
+
     def _respond(self, text: str) -> None:
         self.send_response(_OK)
         self.send_header('X-Attempt-Id', self.headers.get('x-attempt-id', ''))
@@ -164,13 +187,27 @@
     @contextlib.contextmanager
     def running(self, config: dict[str, Any]) -> Iterator[Fleet]:
         """Run one control and one storage instance with a config."""
-        with (
-            self.control(self._seed) as process,
-            self._role('storage', build.loopback_host(), {}),
-        ):
-            replace_config(process.address, config)
+        with self.controlled(config), self.storage():
             yield self
 
+    @contextlib.contextmanager
+    def controlled(self, config: dict[str, Any]) -> Iterator[None]:
+        """Run a control instance with a config."""
+        with self.control(self._seed) as process:
+            replace_config(process.address, config)
+            yield
+
+    @contextlib.contextmanager
+    def storage(self, **settings: Any) -> Iterator[int]:
+        """Run a storage instance; yield its process id.
+
+        Args:
+            **settings: Keys of the settings file.
+        """
+        changes = {'host': build.loopback_host(), **settings}
+        with self._role('storage', changes['host'], changes) as pid:
+            yield pid
+
     @contextlib.contextmanager
     def control(self, address: Address, **settings: Any) -> Iterator[Process]:
         """Run a control instance, which is the only one if it is its own seed.
@@ -266,7 +303,7 @@
         self, role: str, host: str, changes: dict[str, Any]
     ) -> Iterator[int]:
         data = self._folder / f'data-{self._count}'
-        data.mkdir()
+        data.mkdir(exist_ok=True)
         list_host, list_port = self._list_address
         settings = {
             'instance': f'{role}-{self._count}',
--- a/tests/peering/test_link.py
+++ b/tests/peering/test_link.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
 import pytest
@@ -22,7 +23,11 @@
     decode,
     encode,
 )
-from acaciaramp.peering.server import Address, serve_peers
+from acaciaramp.peering.server import (
+    Address,
+    hold_until_replied,
+    serve_peers,
+)
 from acaciaramp.verdicts import Verdict
 from tests import builders as build
 
@@ -72,6 +77,27 @@
     assert replies == [b'reply to first', b'reply to second']
 
 
+# Guards against large replies that are created while others are not sent yet.
+def test_what_a_handler_holds_is_released_after_its_reply() -> None:
+    steps: list[str] = []
+
+    @contextlib.asynccontextmanager
+    async def resource() -> AsyncIterator[None]:
+        steps.append('taken')
+        yield
+        steps.append('released')
+
+    async def handler(body: bytes) -> bytes:
+        await hold_until_replied(resource())
+        steps.append('handled')
+        return body
+
+    assert anyio.run(exchange, handler, b'body') == [b'body']
+    assert steps == ['taken', 'handled', 'released']
+    anyio.run(hold_until_replied, resource())
+    assert steps[3:] == ['taken', 'released']
+
+
 def test_concurrent_large_replies_all_arrive() -> None:
     received: list[bytes] = []
     all_received = anyio.Event()
--- a/tests/replication/test_load.py
+++ b/tests/replication/test_load.py
@@ -137,3 +137,32 @@
 
     timing = Timing(full_wait_ms=0, compact_entries=20, retained_entries=5)
     run_with_leader(send, scenario, timing=timing)
+
+
+# Guards against logs of few large entries that grow without a bound.
+def test_a_log_of_large_entries_is_compacted_by_their_bytes() -> None:
+    may_compact = [True]
+
+    async def send(target: InstanceId, req: msgs.Request) -> msgs.Reply:
+        return acknowledge(target, req)
+
+    async def scenario(replica: Replica, tasks: TaskGroup) -> None:
+        for _ in range(9):
+            await replica.propose(1_000 * b'x')
+        compacted = replica.log.snapshot.index
+        assert compacted
+        assert replica.commit - compacted < 4
+        may_compact[0] = False
+        for _ in range(9):
+            await replica.propose(1_000 * b'x')
+        assert replica.log.snapshot.index == compacted
+        may_compact[0] = True
+        await replica.propose(b'x')
+        assert replica.log.snapshot.index > compacted
+
+    timing = Timing(
+        full_wait_ms=0,
+        compact_bytes=4_000,
+        may_compact=lambda: may_compact[0],
+    )
+    run_with_leader(send, scenario, timing=timing)
--- a/tests/replication/test_rules.py
+++ b/tests/replication/test_rules.py
@@ -153,6 +153,24 @@
     assert not anyio.run(scenario).is_matching
 
 
+# Guards against a copy of the state for each member that is behind.
+def test_members_that_are_behind_share_an_encoded_snapshot() -> None:
+    progress = progress_of(b=0, c=0)
+    snapshot = msgs.Snapshot(5, 1, ALL, b'state')
+    for peer in progress.peers.values():
+        peer.begin_snapshot(snapshot.index)
+    encoded = progress.encoded_snapshot(snapshot)
+    assert progress.encoded_snapshot(snapshot) is encoded
+    progress.peers[B.instance].end_snapshot()
+    progress.drop_unused_snapshot()
+    assert progress.encoded_snapshot(snapshot) is encoded
+    progress.peers[C.instance].end_snapshot()
+    progress.drop_unused_snapshot()
+    assert progress.encoded_snapshot(snapshot) is not encoded
+    later = msgs.Snapshot(6, 1, ALL, b'later')
+    assert progress.encoded_snapshot(later) == msgspec.msgpack.encode(later)
+
+
 def test_corrupt_or_incomplete_snapshot_is_not_installed() -> None:
     encoded = msgspec.msgpack.encode(msgs.Snapshot(5, 1, ALL, b'1,2'))
 
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -55,6 +55,23 @@
     assert stored.vote.term == 3
 
 
+@pytest.mark.parametrize('size', [0, 1, 255, 256, 65_535, 65_536])
+def test_snapshot_of_any_size_is_read_back(
+    tmp_path: pathlib.Path, size: int
+) -> None:
+    snapshot = Snapshot(3, 1, Members(()), size * b's')
+    filled_store(tmp_path).save_snapshot(snapshot, [])
+    assert DiskStore(tmp_path).load().snapshot == snapshot
+
+
+def test_loaded_state_is_not_kept_by_the_store(tmp_path: pathlib.Path) -> None:
+    store = filled_store(tmp_path)
+    first = store.load()
+    second = store.load()
+    assert first is not second
+    assert second.entries == entries(b'1', b'2', b'x', b'y')
+
+
 def test_entries_in_snapshot_are_dropped_after_crash_before_new_journal(
     tmp_path: pathlib.Path,
 ) -> None:
