Ignore the continued turn in digests where routes retain nothing

Since the digest of a streaming request has the turn that it names as continued. Routes that retain nothing ignore that header, so that a request which crashes endpoints could have escaped the quarantine by another value in each try. Found by reading; the test got two digests before.

--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -168,9 +168,7 @@
 
     @property
     def _continued_turn(self) -> str | None:
-        if self.route.kind is not RouteKind.STREAMING:
-            return None
-        return self.inbound.turn.previous
+        return self.inbound.turn.previous if self.route.is_retained else None
 
     @property
     def _cache_tokens(self) -> int:
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -11,6 +11,7 @@
 from tests.forwarding.endpoint import RecordedCrashes
 from tests.forwarding.harness import (
     Harness,
+    dropped,
     run,
     streamed,
 )
@@ -42,6 +43,19 @@
     run(RETAINED, scenario, dropped_second)
 
 
+# Guards against a request that escapes the quarantine by a header without meaning.
+def test_routes_that_retain_nothing_ignore_the_continued_turn() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        for attempt in ('a1', 'a2'):
+            await harness.request(
+                attempt, (b'x-previous-turn', attempt.encode())
+            )
+        harness.crashes.watch.observe([])
+        assert len(harness.crashes.digests) == 1
+
+    run(build.route(), scenario, dropped)
+
+
 class WatchedEndpoint(RecordedCrashes):
     """A crash watch with one endpoint, and the clock of both.
 
