Relay responses in many small parts by turns

Callers saw: while a faulty endpoint sent chunks of one byte or events of 8 bytes without end, an entry lost its links to the control leader and the ledger, took all endpoints for unreachable, and refused ordinary requests to a sound service.

Cause: what one read has brought is parsed and passed on without any wait. 64 KiB in such chunks are 10,000 parts, each with its way through the parser, the relay and the web server, in which no other task of the process runs. Informational responses before a head have the same effect.

Heads are read 4 KiB at a time.

--- a/src/acaciaramp/forwarding/connections.py
+++ b/src/acaciaramp/forwarding/connections.py
@@ -19,6 +19,7 @@
     from acaciaramp.coordination.messages import Endpoint
     from acaciaramp.forwarding.dialer import DialedStream, Dialer
     from acaciaramp.forwarding.messages import RawHeaders
+    from acaciaramp.forwarding.pacing import RelayPace
     from acaciaramp.ids import ServiceName
     from acaciaramp.tunnels.opener import Regions
 
@@ -32,6 +33,8 @@
 
 # The read that completes a head may contain up to 64 KiB of the body.
 _MAX_HEAD_BYTES = 98_304
+# Many short informational responses are parsed without a wait between them.
+_HEAD_PART_BYTES = 4_096
 
 # A slow endpoint holds up one such part of a body at a time.
 _SENT_PART_BYTES = 65_536
@@ -72,11 +75,13 @@
         Raises:
             _HeadTooLongError: The head is too long.
         """
-        received = await self._stream.read(max_bytes, timeout)
-        if self.is_reading_head:
-            self._head_bytes += len(received)
-            if self._head_bytes > _MAX_HEAD_BYTES:
-                raise _HeadTooLongError
+        if not self.is_reading_head:
+            return await self._stream.read(max_bytes, timeout)
+        most_bytes = min(max_bytes, _HEAD_PART_BYTES)
+        received = await self._stream.read(most_bytes, timeout)
+        self._head_bytes += len(received)
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            raise _HeadTooLongError
         return received
 
 
@@ -295,15 +300,22 @@
         yield body[start : start + _SENT_PART_BYTES]
 
 
-async def iter_body(resp: httpcore.Response) -> AsyncIterator[bytes]:
+async def iter_body(
+    resp: httpcore.Response, pace: RelayPace
+) -> AsyncIterator[bytes]:
     """Yield the parts of a response body as they arrive.
 
+    Args:
+        resp: The response.
+        pace: Pace of the response.
+
     Raises:
         EndpointError: The connection failed before the end of the body.
     """
     try:
         async for part in resp.aiter_stream():
             yield part
+            await pace.record_part(len(part))
     except NETWORK_ERRORS as exc:
         raise connection_lost_error(exc) from None
 
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -12,6 +12,7 @@
 from acaciaramp.forwarding.call import Call
 from acaciaramp.forwarding.caller import Caller, announced_bytes
 from acaciaramp.forwarding.draining import Draining
+from acaciaramp.forwarding.pacing import RelayTurns
 from acaciaramp.forwarding.relay import Relay
 from acaciaramp.metrics.names import BadInput, Counter, Timer
 from acaciaramp.util.logs import get_logger
@@ -92,6 +93,7 @@
         self._clock = clock
         self._metrics = metrics
         self._buffers = buffers or BufferLimit()
+        self._relay_turns = RelayTurns(clock)
         self._scopes: set[anyio.CancelScope] = set()
 
     def end_requests(self) -> None:
@@ -330,7 +332,11 @@
             self._turns.settle_failed(call)
             raise
         relay = Relay(
-            call, caller, self._turns.make_before_finish(call), self._buffers
+            call,
+            caller,
+            self._turns.make_before_finish(call),
+            self._buffers,
+            self._relay_turns.open(),
         )
         try:
             await self._forwarder.forward(call, relay)
--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -23,6 +23,7 @@
     from acaciaramp.forwarding.call import Call
     from acaciaramp.forwarding.caller import Caller
     from acaciaramp.forwarding.messages import ResponseHead
+    from acaciaramp.forwarding.pacing import RelayPace
     from acaciaramp.scheduling.speeds import ResponseTiming
 
 _OK = 200
@@ -49,6 +50,7 @@
         caller: Caller,
         before_finish: Callable[[Relay], Awaitable[None]],
         buffers: BufferLimit,
+        pace: RelayPace,
     ) -> None:
         """Create the relay.
 
@@ -59,6 +61,7 @@
             before_finish: Called when the response has arrived completely,
                 before its end is sent to the caller. If it fails, the caller
                 does not get a complete response.
+            pace: Pace at which its parts are relayed.
         """
         self._keeps_content = (
             call.turn is not None and call.turn.plan.retention_ms > 0
@@ -71,6 +74,7 @@
         self._caller = caller
         self._before_finish = before_finish
         self._buffers = buffers
+        self._pace = pace
 
     @property
     def is_success(self) -> bool:
@@ -103,7 +107,7 @@
                 self._buffers.count(-self._kept_bytes)
             return
         with ResponseBuffer(self._buffers) as buffer:
-            async for part in iter_body(resp):
+            async for part in iter_body(resp, self._pace):
                 buffer.append(part)
             self._record_part()
             if is_bodiless:
@@ -143,7 +147,7 @@
         await self._caller.start(head.status, head.headers)
         remaining_bytes = head.length
         last = b''
-        async for part in iter_body(resp):
+        async for part in iter_body(resp, self._pace):
             self._feed_events(part)
             self._record_part()
             if remaining_bytes is not None:
