Bound what an entry holds of responses without end

Callers saw: a faulty endpoint that sent events without end made the entry that had called it run out of memory; the requests of all its callers ended with it.

Cause: the contents that are collected to be stored had a limit for each stream but none for all; the kernel takes megabytes for each connection, and the event loop reads all of it at once; incomplete events, and the chains that turns continue, were not counted.

Connections to endpoints have a receive buffer of 64 KiB. Contents, incomplete events, chains and whole responses share one limit; a quarter of it is kept for small ones.

tests/forwarding/test_buffers.py: test_other_bytes_count_without_a_limit_of_their_own asserted the fault, that contents count without a limit. It is replaced by test_collected_contents_share_the_limit_of_the_bodies, which checks the same count and the limit as well.

--- a/src/acaciaramp/conversations/events.py
+++ b/src/acaciaramp/conversations/events.py
@@ -50,6 +50,11 @@
         """Whether the stream would be broken off if it ended here."""
         return self._has_lines or bool(self._partial_line)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return self._data_bytes + len(self._partial_line)
+
     def feed(self, part: bytes) -> None:
         """Process the next bytes of the stream, cut at any position.
 
@@ -75,6 +80,12 @@
                 f'the data of the stream exceeds {MAX_CONTENT_BYTES} bytes'
             )
 
+    def drop_content(self) -> None:
+        """Free what was collected; only the count of events stays."""
+        self.content.clear()
+        self._data = []
+        self._partial_line = b''
+
     def _process_line(self, line: bytes) -> None:
         self._has_lines = bool(line)
         if line.startswith(_DATA):
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -181,6 +181,7 @@
         self.endpoint = endpoint
         self.origin = origin
         self.home: BoundTurn | None = None
+        self._body: bytes | None = None
         self._origins = 0 if origin is None else 1
 
     def next_origin_number(self) -> int:
@@ -191,7 +192,14 @@
     @property
     def body(self) -> bytes:
         """Body of the request to the endpoint: the chain, then the input."""
-        return self.chain + self.plan.content
+        if self._body is None:
+            self._body = self.chain + self.plan.content
+        return self._body
+
+    @property
+    def held_bytes(self) -> int:
+        """What it holds besides its input: the chain, and the body with it."""
+        return len(self.chain) + len(self.body) if self.chain else 0
 
 
 class TurnManager:
--- a/src/acaciaramp/endpoints/dialing.py
+++ b/src/acaciaramp/endpoints/dialing.py
@@ -19,9 +19,13 @@
 _TCP_USER_TIMEOUT_MS = 1_500
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+# The event loop takes over all that has arrived at once, which is megabytes with the
+# default; this fills a link of 25 Mbit/s between regions.
+RECEIVE_BUFFER_BYTES = 65_536
 
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
--- a/src/acaciaramp/forwarding/buffers.py
+++ b/src/acaciaramp/forwarding/buffers.py
@@ -10,10 +10,14 @@
 # All responses of one process together; several of them may grow at once.
 MAX_TOTAL_BYTES = 25_165_824
 _BUDGET_FRACTION = 0.5
+# The rest is kept for small responses, so that ordinary ones are served while others
+# have no end.
+_LARGE_FRACTION = 0.75
+_LARGE_BYTES = 65_536
 
 
 class BufferLimit:
-    """Counts the bytes that all buffers of a process hold."""
+    """Counts what a process holds of responses: bodies and collected contents."""
 
     def __init__(
         self,
@@ -34,22 +38,29 @@
         self._holder = FixedHolder()
         self._account = counted.open(self._holder)
 
-    def add(self, size: int) -> None:
+    def add(self, size: int, held_bytes: int = 0) -> None:
         """Count bytes that are added to a buffer.
 
+        Args:
+            size: Number of bytes.
+            held_bytes: What the buffer holds before. One of more than 64 KiB may
+                use three quarters of the limit.
+
         Raises:
             EndpointError: All buffers together would be too large.
         """
-        if self._held_bytes + size > self._most_bytes:
-            raise too_long_error(self._most_bytes)
-        self.count(size)
+        most_bytes = self._most_bytes
+        if held_bytes + size > _LARGE_BYTES:
+            most_bytes *= _LARGE_FRACTION
+        if self._held_bytes + size > most_bytes:
+            raise too_long_error(most_bytes)
+        self._count(size)
 
     def remove(self, size: int) -> None:
         """Count bytes whose buffer is not needed any more."""
-        self.count(-size)
+        self._count(-size)
 
-    def count(self, size: int) -> None:
-        """Count bytes that have another limit; negative if they are freed."""
+    def _count(self, size: int) -> None:
         self._held_bytes += size
         self._holder.size = self._held_bytes
         if self._account is not None:
@@ -104,7 +115,7 @@
         """
         if self._size + len(part) > self._most_bytes:
             raise too_long_error(self._most_bytes)
-        self._limit.add(len(part))
+        self._limit.add(len(part), self._size)
         self._size += len(part)
         self.content += part
 
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -19,6 +20,8 @@
 from acaciaramp.verdicts import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from anyio.abc import TaskGroup
 
     from acaciaramp.clock import Clock
@@ -339,12 +342,34 @@
             self._relay_turns.open(),
         )
         try:
-            await self._forwarder.forward(call, relay)
+            with self._holding_chain(call):
+                await self._forwarder.forward(call, relay)
         except BaseException:
             self._turns.settle_failed(call)
             raise
         self._record_response(call, relay)
 
+    @contextlib.contextmanager
+    def _holding_chain(self, call: Call) -> Iterator[None]:
+        """Count the turns that a call continues while it is forwarded.
+
+        Raises:
+            CallError: There is no room for them.
+        """
+        size = 0 if call.turn is None else call.turn.held_bytes
+        try:
+            self._buffers.add(size)
+        except EndpointError:
+            raise CallError(
+                ErrorCode.OVERLOADED,
+                f'there is no room for {size} bytes of the turns before it',
+                retry_after_ms=_RETRY_AFTER_MS,
+            ) from None
+        try:
+            yield
+        finally:
+            self._buffers.remove(size)
+
     def _direct_resumption(self, call: Call) -> None:
         """Direct a call that resumes a stream to the service that began it.
 
--- a/src/acaciaramp/forwarding/relay.py
+++ b/src/acaciaramp/forwarding/relay.py
@@ -66,7 +66,8 @@
         self._keeps_content = (
             call.turn is not None and call.turn.plan.retention_ms > 0
         )
-        self._kept_bytes = 0
+        # Of the content that is kept, else of the incomplete event.
+        self._held_bytes = 0
         self.events = EventCollector(keeps_content=self._keeps_content)
         self.status = 0
         self.timing: ResponseTiming | None = None
@@ -104,7 +105,9 @@
             try:
                 await self._stream(head, resp)
             finally:
-                self._buffers.count(-self._kept_bytes)
+                # The traceback of an error may keep the relay for a while.
+                self.events.drop_content()
+                self._buffers.remove(self._held_bytes)
             return
         with ResponseBuffer(self._buffers) as buffer:
             async for part in iter_body(resp, self._pace):
@@ -171,14 +174,27 @@
 
     def _feed_events(self, part: bytes) -> None:
         if self._keeps_content:
-            self._kept_bytes += len(part)
-            self._buffers.count(len(part))
+            self._hold(self._held_bytes + len(part))
         try:
             self.events.feed(part)
         except StreamTooLargeError as exc:
             raise EndpointError(
                 Failure.MALFORMED, Verdict.MAY_HAVE_RUN, str(exc)
             ) from None
+        if not self._keeps_content:
+            self._hold(self.events.pending_bytes)
+
+    def _hold(self, size: int) -> None:
+        """Count what is held now.
+
+        Raises:
+            EndpointError: There is no room for it.
+        """
+        if size > self._held_bytes:
+            self._buffers.add(size - self._held_bytes, self._held_bytes)
+        else:
+            self._buffers.remove(self._held_bytes - size)
+        self._held_bytes = size
 
 
 def _check_length(announced_bytes: int, received_bytes: int) -> None:
--- a/tests/forwarding/test_buffers.py
+++ b/tests/forwarding/test_buffers.py
@@ -33,10 +33,28 @@
         second.append(100 * b'x')
 
 
-def test_other_bytes_count_without_a_limit_of_their_own() -> None:
+# Guards against contents of endless streams that are held without a limit.
+def test_collected_contents_share_the_limit_of_the_bodies() -> None:
     budget = make_budget(1_000)
     limit = BufferLimit(budget=budget)
-    limit.count(900)
-    assert budget.total_bytes == 900
-    limit.count(-900)
+    limit.add(400)
+    assert budget.total_bytes == 400
+    with ResponseBuffer(limit) as buffer:
+        buffer.append(100 * b'x')
+        with pytest.raises(EndpointError):
+            limit.add(1)
+    limit.remove(400)
     assert budget.total_bytes == 0
+
+
+# Guards against ordinary responses that fail as endless ones hold all of the room.
+def test_a_part_of_the_room_is_kept_for_small_responses() -> None:
+    most_bytes = 1_000_000
+    limit = BufferLimit(most_bytes)
+    with ResponseBuffer(limit) as large, ResponseBuffer(limit) as small:
+        large.append(750_000 * b'x')
+        with pytest.raises(EndpointError):
+            large.append(b'x')
+        small.append(65_536 * b'x')
+        with pytest.raises(EndpointError):
+            small.append(b'x')
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -11,7 +11,8 @@
 from acaciaramp.clock import SystemClock
 from acaciaramp.conversations.ledger import EXPIRY_MARGIN_MS
 from acaciaramp.conversations.messages import CloseReply, CloseTurn, TurnKey
-from acaciaramp.ids import ServiceName
+from acaciaramp.forwarding.buffers import MAX_TOTAL_BYTES
+from acaciaramp.ids import ProgramId, ServiceName
 from acaciaramp.routing.model import (
     Route,
     RouteKind,
@@ -50,6 +51,8 @@
     unresponsive,
 )
 
+# Counts as small in the limit on responses.
+SMALL_BYTES = 65_536
 NON_IDEMPOTENT = build.route(kind=RouteKind.NON_IDEMPOTENT, timeout_ms=500)
 IDEMPOTENT = build.route(kind=RouteKind.IDEMPOTENT, timeout_ms=500, attempts=2)
 RETAINED = build.route(is_retained=True, retention_ms=60_000)
@@ -569,6 +572,29 @@
     run(RETAINED, scenario, streamed)
 
 
+# Guards against chains that are held without a limit while their turns run.
+def test_a_turn_is_refused_if_there_is_no_room_for_its_chain() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        await harness.request('a1', *TURN_HEADERS)
+        buffers = harness.gateway._buffers
+        for _ in range(MAX_TOTAL_BYTES // SMALL_BYTES):
+            buffers.add(SMALL_BYTES)
+        continued = (b'x-previous-turn', b'a1')
+        caller = await harness.request('a2', *TURN_HEADERS, continued)
+        assert caller.status == 503
+        assert len(fakes[0].received) == 1
+        buffers.remove(MAX_TOTAL_BYTES)
+        await anyio.wait_all_tasks_blocked()
+        caller = await harness.request('a3', *TURN_HEADERS, continued)
+        assert caller.is_complete
+        account = harness.ledger.state_machine.account(
+            TurnKey(build.WORKSPACE, 'a3'), ProgramId('p')
+        )
+        assert not account.reserved
+
+    run(RETAINED, scenario, streamed)
+
+
 # Guards against turns that run though the ledger cannot store them.
 def test_a_retained_turn_is_refused_at_once_if_the_ledger_is_full() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
--- a/tests/memory/processes.py
+++ b/tests/memory/processes.py
@@ -154,7 +154,7 @@
         self.end_headers()
         self.close_connection = True
         with contextlib.suppress(OSError):
-            while True:
+            while not self.wfile.closed:
                 self.wfile.write(_ENDLESS_EVENT)
 
     def _respond(self, text: str) -> None:
