Let the crash watch run only while endpoints are suspected

Its timer fired ten times a second on every entry, also while no attempt had failed; each wake-up costs processor time. It waits for the next suspicion now. Test: test_the_watch_waits_until_an_endpoint_is_suspected, no timer before and after.

--- a/src/acaciaramp/forwarding/crashes.py
+++ b/src/acaciaramp/forwarding/crashes.py
@@ -118,6 +118,7 @@
         self._clock = clock
         self._suspects: dict[Lifetime, _Suspect] = {}
         self._leaving: set[Lifetime] = set()
+        self._dial_due = anyio.Event()
 
     def suspect(self, digest: str, endpoint: Endpoint) -> None:
         """Record that the connection of a request was lost."""
@@ -139,6 +140,7 @@
         elif suspect.dial_ms is None:
             suspect.dial_ms = now_ms
             suspect.refusals = 0
+            self._dial_due.set()
 
     def record_response(self, endpoint: Endpoint, sent_ms: int) -> None:
         """Record that an endpoint has responded to a request.
@@ -159,6 +161,7 @@
 
     def observe(self, endpoints: Iterable[Endpoint]) -> None:
         """Compare the suspects with a new instance list."""
+        self._drop_old()
         listed = {endpoint.id: endpoint for endpoint in endpoints}
         self._leaving &= set(map(_lifetime_of, listed.values()))
         for lifetime, suspect in list(self._suspects.items()):
@@ -172,16 +175,18 @@
                 self.record_leaving(suspect.endpoint)
 
     async def run(self) -> None:
-        """Dial suspects and forget old ones, until cancelled."""
+        """Dial suspects until cancelled."""
         while True:
+            await self._dial_due.wait()
             await self._clock.sleep_ms(_TICK_MS)
-            if self._suspects:
-                await self.check()
+            await self.check()
+            if all(item.dial_ms is None for item in self._suspects.values()):
+                self._dial_due = anyio.Event()
 
     async def check(self) -> None:
-        """Dial the suspects that are due; forget those that are too old."""
+        """Dial the suspects that are due."""
+        self._drop_old()
         now_ms = self._clock.now_ms()
-        self._drop_old(now_ms - _SUSPICION_MS)
         due = [
             suspect
             for suspect in self._suspects.values()
@@ -222,7 +227,8 @@
         for digest in digests:
             self._report(Crash(digest, lifetime))
 
-    def _drop_old(self, oldest_ms: int) -> None:
+    def _drop_old(self) -> None:
+        oldest_ms = self._clock.now_ms() - _SUSPICION_MS
         for lifetime, suspect in list(self._suspects.items()):
             if max(suspect.failed_ms.values()) < oldest_ms:
                 self._suspects.pop(lifetime)
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -163,3 +163,25 @@
     watched.watch.observe([])
     assert len(watched.reported) == 64
     assert watched.digests[-1] == '99'
+
+
+# Guards against timers that run on every entry while nothing has failed.
+def test_the_watch_waits_until_an_endpoint_is_suspected() -> None:
+    async def main() -> int:
+        watched = WatchedEndpoint()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watched.watch.run)
+            await anyio.wait_all_tasks_blocked()
+            timers = len(watched.clock._timers)
+            watched.refuses = True
+            watched.lose()
+            for _ in range(8):
+                await anyio.wait_all_tasks_blocked()
+                watched.clock.advance(100)
+            await anyio.wait_all_tasks_blocked()
+            assert watched.digests == ['d']
+            timers += len(watched.clock._timers)
+            tasks.cancel_scope.cancel()
+        return timers
+
+    assert anyio.run(main) == 0
