Count an endpoint that falls silent under a request as crashed

Cause: only a lost connection counted as a crash. A request without an answer in time was forgotten, though the instance list shows a new lifetime of its endpoint soon after.

A timeout is a suspicion if the endpoint has responded to nothing in the 500 ms before, and counts once the list shows that its lifetime has ended unplanned. Endpoints that were listed as leaving stay known as such for 15 s after they are gone.

Tests: four in tests/forwarding/test_crashes.py, which use a call that did not exist before; test_a_request_without_an_answer_in_time_is_suspected goes through the gateway.

--- a/src/acaciaramp/forwarding/crashes.py
+++ b/src/acaciaramp/forwarding/crashes.py
@@ -1,10 +1,11 @@
 """Decides which failed attempts count as crashes of endpoints.
 
 A lost connection alone is no crash: a reset, a cut network or an endpoint with too
-many connections looks the same to the attempt. A request is taken to have crashed its
-endpoint once the lifetime of that endpoint ends after the attempt has failed:
+many connections looks the same to the attempt. Neither is an answer that does not come
+in time: the endpoint may be slow. A request is taken to have crashed its endpoint once
+the lifetime of that endpoint ends after the attempt has failed:
 
-- the endpoint refuses new connections, or
+- the endpoint refuses new connections after one was lost, or
 - the instance list has a later start of it, or does not have it any more.
 
 An endpoint that has said that it is leaving ends as planned, and one that responds
@@ -40,6 +41,9 @@
 _MAX_DIALS_AT_ONCE = 8
 # Endpoints that have crashed stay on the instance list for some seconds.
 _SUSPICION_MS = 15_000
+# An endpoint that has responded to anything within this time before an attempt timed
+# out is slow at most.
+_SILENCE_MS = 500
 _MAX_SUSPECTED_ENDPOINTS = 256
 _MAX_SUSPECTED_REQUESTS = 64
 
@@ -117,31 +121,32 @@
         self._report = report
         self._clock = clock
         self._suspects: dict[Lifetime, _Suspect] = {}
-        self._leaving: set[Lifetime] = set()
+        # When each endpoint that is leaving was last known to be so.
+        self._leaving_ms: dict[Lifetime, int] = {}
+        self._heard_ms: dict[Lifetime, int] = {}
+        self._listed: dict[EndpointId, Endpoint] | None = None
         self._dial_due = anyio.Event()
 
     def suspect(self, digest: str, endpoint: Endpoint) -> None:
         """Record that the connection of a request was lost."""
-        lifetime = _lifetime_of(endpoint)
-        if endpoint.is_leaving or lifetime in self._leaving:
+        suspect = self._suspect(digest, endpoint)
+        if suspect is None or suspect.end:
             return
-        suspect = self._suspects.pop(lifetime, None) or _Suspect(endpoint)
-        # The endpoint with the newest failure is the last one to be dropped.
-        self._suspects[lifetime] = suspect
-        if len(self._suspects) > _MAX_SUSPECTED_ENDPOINTS:
-            self._suspects.pop(next(iter(self._suspects)))
-        now_ms = self._clock.now_ms()
-        suspect.failed_ms.pop(digest, None)
-        suspect.failed_ms[digest] = now_ms
-        if len(suspect.failed_ms) > _MAX_SUSPECTED_REQUESTS:
-            suspect.failed_ms.pop(next(iter(suspect.failed_ms)))
-        if suspect.end:
-            self._report(Crash(digest, lifetime))
-        elif suspect.dial_ms is None:
-            suspect.dial_ms = now_ms
+        if suspect.dial_ms is None:
+            suspect.dial_ms = self._clock.now_ms()
             suspect.refusals = 0
             self._dial_due.set()
 
+    def suspect_silent(self, digest: str, endpoint: Endpoint) -> None:
+        """Record that no answer to a request has come in time.
+
+        Nothing is recorded if the endpoint has responded to others just before.
+        """
+        heard_ms = self._heard_ms.get(_lifetime_of(endpoint))
+        now_ms = self._clock.now_ms()
+        if heard_ms is None or now_ms - heard_ms > _SILENCE_MS:
+            self._suspect(digest, endpoint)
+
     def record_response(self, endpoint: Endpoint, sent_ms: int) -> None:
         """Record that an endpoint has responded to a request.
 
@@ -149,30 +154,31 @@
             endpoint: The endpoint.
             sent_ms: When the request was sent.
         """
-        suspect = self._suspects.get(_lifetime_of(endpoint))
+        lifetime = _lifetime_of(endpoint)
+        self._heard_ms[lifetime] = self._clock.now_ms()
+        suspect = self._suspects.get(lifetime)
         if suspect is not None:
             suspect.answered_ms = max(suspect.answered_ms, sent_ms)
 
     def record_leaving(self, endpoint: Endpoint) -> None:
         """Record that an endpoint is leaving: its end will be planned."""
         lifetime = _lifetime_of(endpoint)
-        self._leaving.add(lifetime)
+        self._leaving_ms[lifetime] = self._clock.now_ms()
         self._suspects.pop(lifetime, None)
 
     def observe(self, endpoints: Iterable[Endpoint]) -> None:
         """Compare the suspects with a new instance list."""
         self._drop_old()
         listed = {endpoint.id: endpoint for endpoint in endpoints}
-        self._leaving &= set(map(_lifetime_of, listed.values()))
-        for lifetime, suspect in list(self._suspects.items()):
-            found = listed.get(lifetime.endpoint)
-            if found is None:
-                self._record_end(suspect, suspect.unanswered(), 'unlisted')
-            elif lifetime.born_ms and found.born_ms > lifetime.born_ms:
-                # A response after the failure may be of the later lifetime.
-                self._record_end(suspect, list(suspect.failed_ms), 'restarted')
-            elif found.is_leaving:
-                self.record_leaving(suspect.endpoint)
+        self._listed = listed
+        for endpoint in listed.values():
+            if endpoint.is_leaving:
+                self.record_leaving(endpoint)
+        present = set(map(_lifetime_of, listed.values()))
+        for lifetime in self._heard_ms.keys() - present:
+            self._heard_ms.pop(lifetime)
+        for suspect in list(self._suspects.values()):
+            self._judge(suspect, listed.get(suspect.endpoint.id))
 
     async def run(self) -> None:
         """Dial suspects until cancelled."""
@@ -196,6 +202,37 @@
             for suspect in due[:_MAX_DIALS_AT_ONCE]:
                 tasks.start_soon(self._dial, suspect)
 
+    def _suspect(self, digest: str, endpoint: Endpoint) -> _Suspect | None:
+        """Return the suspect of a failed attempt; None if it is leaving."""
+        lifetime = _lifetime_of(endpoint)
+        if endpoint.is_leaving or lifetime in self._leaving_ms:
+            return None
+        suspect = self._suspects.pop(lifetime, None) or _Suspect(endpoint)
+        # The endpoint with the newest failure is the last one to be dropped.
+        self._suspects[lifetime] = suspect
+        if len(self._suspects) > _MAX_SUSPECTED_ENDPOINTS:
+            self._suspects.pop(next(iter(self._suspects)))
+        now_ms = self._clock.now_ms()
+        suspect.failed_ms.pop(digest, None)
+        suspect.failed_ms[digest] = now_ms
+        if len(suspect.failed_ms) > _MAX_SUSPECTED_REQUESTS:
+            suspect.failed_ms.pop(next(iter(suspect.failed_ms)))
+        if suspect.end:
+            self._report(Crash(digest, lifetime))
+        elif self._listed is not None:
+            # The list may have shown the end before the attempt timed out.
+            self._judge(suspect, self._listed.get(endpoint.id))
+        return suspect
+
+    def _judge(self, suspect: _Suspect, found: Endpoint | None) -> None:
+        """Compare a suspect with its entry in the instance list, if it has one."""
+        born_ms = suspect.endpoint.born_ms
+        if found is None:
+            self._record_end(suspect, suspect.unanswered(), 'unlisted')
+        elif born_ms and found.born_ms > born_ms:
+            # A response after the failure may be of the later lifetime.
+            self._record_end(suspect, list(suspect.failed_ms), 'restarted')
+
     async def _dial(self, suspect: _Suspect) -> None:
         if not await self._refuses_connections(suspect.endpoint):
             # It lives, or it is back already: the list tells which.
@@ -229,6 +266,9 @@
 
     def _drop_old(self) -> None:
         oldest_ms = self._clock.now_ms() - _SUSPICION_MS
+        for left, at_ms in list(self._leaving_ms.items()):
+            if at_ms < oldest_ms:
+                self._leaving_ms.pop(left)
         for lifetime, suspect in list(self._suspects.items()):
             if max(suspect.failed_ms.values()) < oldest_ms:
                 self._suspects.pop(lifetime)
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -62,7 +62,7 @@
             connections: Pool of connections to endpoints.
             clock: Source of time.
             metrics: Counts retries and invalid responses.
-            crashes: Decides which lost connections are crashes of endpoints.
+            crashes: Decides which failed attempts are crashes of endpoints.
             dialer: Knows whether endpoints can be reached at all.
             reach: Learns of requests that are sent directly.
         """
@@ -300,6 +300,8 @@
         if exc.failure is Failure.CONNECTION_LOST:
             self._reach.suspect(endpoint.id)
             self._crashes.suspect(call.digest(), endpoint)
+        if exc.failure is Failure.TIMEOUT and call.is_sent:
+            self._crashes.suspect_silent(call.digest(), endpoint)
         if self._chooser.overload is not None:
             self._chooser.overload.record_failure(call, exc)
         call.is_sent = False
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -7,6 +7,7 @@
 import anyio
 
 from acaciaramp.clock import ManualClock
+from acaciaramp.routing.model import RouteKind
 from tests import builders as build
 from tests.forwarding.endpoint import RecordedCrashes
 from tests.forwarding.harness import (
@@ -14,6 +15,7 @@
     dropped,
     run,
     streamed,
+    unresponsive,
 )
 
 if TYPE_CHECKING:
@@ -140,11 +142,15 @@
         [build.listed_endpoint(born_ms=1_000, is_leaving=True)]
     )
     watched.watch.observe([])
-    watched.watch.record_leaving(watched.endpoint)
     watched.lose()
     watched.refuses = True
     watched.check()
     assert not watched.reported
+    said_so = build.listed_endpoint('e-2', born_ms=1_000)
+    watched.watch.record_leaving(said_so)
+    watched.watch.suspect('d', said_so)
+    watched.check()
+    assert not watched.reported
 
 
 def test_an_end_long_after_a_failure_is_no_crash() -> None:
@@ -165,6 +171,49 @@
     assert watched.digests[-1] == '99'
 
 
+# Guards against a request that makes one endpoint after the other fall silent: its
+# connections are not lost before its time limit.
+def test_an_endpoint_that_starts_again_after_a_silence_has_crashed() -> None:
+    watched = WatchedEndpoint()
+    watched.watch.observe([watched.endpoint])
+    watched.watch.suspect_silent('d', watched.endpoint)
+    watched.check()
+    watched.watch.observe([watched.endpoint])
+    assert not watched.dials
+    assert not watched.reported
+    watched.watch.observe([build.listed_endpoint('e-2')])
+    assert watched.digests == ['d']
+
+
+def test_a_restart_that_the_list_has_shown_before_the_time_limit_counts() -> (
+    None
+):
+    watched = WatchedEndpoint()
+    watched.watch.observe([build.listed_endpoint(born_ms=2_000)])
+    watched.watch.suspect_silent('d', watched.endpoint)
+    assert watched.digests == ['d']
+
+
+def test_an_endpoint_that_responds_to_others_is_only_slow() -> None:
+    watched = WatchedEndpoint()
+    watched.watch.record_response(watched.endpoint, sent_ms=0)
+    watched.clock.advance(500)
+    watched.watch.suspect_silent('d', watched.endpoint)
+    watched.watch.observe([])
+    assert not watched.reported
+
+
+def test_a_request_without_an_answer_in_time_is_suspected() -> None:
+    async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
+        assert (await harness.request()).status == 504
+        assert not harness.crashes.reported
+        harness.crashes.watch.observe([])
+        assert len(harness.crashes.reported) == 1
+
+    route = build.route(kind=RouteKind.NON_IDEMPOTENT, timeout_ms=50)
+    run(route, scenario, unresponsive)
+
+
 # Guards against timers that run on every entry while nothing has failed.
 def test_the_watch_waits_until_an_endpoint_is_suspected() -> None:
     async def main() -> int:
