Count each lifetime of an endpoint that a request has crashed

Cause: the control leader counted crashes by the ids of endpoints, so that one endpoint which crashes again and again counted once.

A report has the start time of the lifetime as well, and the leader counts by both.

Test: test_endpoints_that_start_again_under_their_ids_count_again in tests/coordination/test_quarantine.py; the message had no such field before.

--- a/src/acaciaramp/coordination/messages.py
+++ b/src/acaciaramp/coordination/messages.py
@@ -263,11 +263,13 @@
 
     Attributes:
         digest: Digest of the request.
-        endpoint: Id of the endpoint.
+        endpoint: Id of the endpoint, which may start again under it.
+        born_ms: Wall-clock time of its start, milliseconds; 0 if unknown.
     """
 
     digest: str
     endpoint: EndpointId
+    born_ms: int = 0
 
 
 class Done(msgspec.Struct, frozen=True, tag=True):
--- a/src/acaciaramp/coordination/quarantine.py
+++ b/src/acaciaramp/coordination/quarantine.py
@@ -9,6 +9,10 @@
 if TYPE_CHECKING:
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import CrashReport
+    from acaciaramp.ids import EndpointId
+
+    # Id of the endpoint and wall-clock time of its start, milliseconds.
+    _Lifetime = tuple[EndpointId, int]
 
 logger = get_logger('coordination')
 
@@ -22,9 +26,10 @@
 
 
 class Quarantine:
-    """Counts the endpoints that crashed while they ran a request.
+    """Counts the lifetimes of endpoints that crashed while they ran a request.
 
-    Requests are identified by their digest.
+    Requests are identified by their digest. An endpoint that starts again under
+    its id may crash once more.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -34,13 +39,14 @@
             clock: Measures the age of crashes.
         """
         self._clock = clock
-        self._crashes: dict[str, dict[str, int]] = {}
+        self._crashes: dict[str, dict[_Lifetime, int]] = {}
 
     def record_crash(self, report: CrashReport) -> None:
         """Record that an endpoint crashed while it ran a request."""
         crashes = self._recent_crashes(report.digest)
         was_active = len(crashes) >= _CRASH_THRESHOLD
-        crashes[report.endpoint] = self._clock.now_ms()
+        lifetime = (report.endpoint, report.born_ms)
+        crashes[lifetime] = self._clock.now_ms()
         # The digest with the newest crash is the last one to be dropped.
         self._crashes.pop(report.digest, None)
         self._crashes[report.digest] = crashes
@@ -48,7 +54,7 @@
             logger.warning(
                 'Quarantined a request that crashed endpoints; refusing it.',
                 digest=report.digest,
-                endpoints=sorted(crashes),
+                endpoints=sorted(endpoint for endpoint, _ in crashes),
             )
         if len(self._crashes) > _MAX_TRACKED_DIGESTS:
             self._drop_one()
@@ -60,8 +66,8 @@
     def _is_active(self, digest: str) -> bool:
         return len(self._recent_crashes(digest)) >= _CRASH_THRESHOLD
 
-    def _recent_crashes(self, digest: str) -> dict[str, int]:
-        """Return the times of the crashes that still count, by endpoint.
+    def _recent_crashes(self, digest: str) -> dict[_Lifetime, int]:
+        """Return the times of the crashes that still count, by lifetime.
 
         All of them count as long as the newest one does.
         """
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -343,7 +343,7 @@
         self._context.tasks.start_soon(self._send_crash_report, crash)
 
     async def _send_crash_report(self, crash: Crash) -> None:
-        report = CrashReport(crash.digest, crash.lifetime.endpoint)
+        report = CrashReport(crash.digest, *crash.lifetime)
         try:
             await self._follower.request(report, Done, _REPORT_TIMEOUT_MS)
         except CallError as exc:
--- a/tests/coordination/test_formats.py
+++ b/tests/coordination/test_formats.py
@@ -1,6 +1,6 @@
 """Snapshots, views and reports of the landed build are understood, and back.
 
-The bytes were written by commit 550e57d.
+The bytes were written by commit 550e57d, those of crashes by ca34837.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 
 from acaciaramp.coordination.codec import decode_request, encode
 from acaciaramp.coordination.messages import (
+    CrashReport,
     FollowRequest,
     LedgerReplicaStatus,
     RateCheckpoint,
@@ -19,7 +20,7 @@
     ControlState,
     ControlStateMachine,
 )
-from acaciaramp.ids import AvailabilityZone, InstanceId
+from acaciaramp.ids import AvailabilityZone, EndpointId, InstanceId
 from acaciaramp.replication.members import Member
 from tests import builders as build
 
@@ -52,6 +53,17 @@
     '6467657283a77265706c69636182a8696e7374616e6365a3732d31ab696e6361726e6174'
     '696f6ea131a969735f6c6561646572c3a6766f7465727391a3732d31'
 )
+LANDED_CRASH = bytes.fromhex(
+    '83a474797065ab43726173685265706f7274a6646967657374a164a8656e64706f696e74a1'
+    '65'
+)
+
+
+class LandedCrashReport(msgspec.Struct, frozen=True, tag='CrashReport'):
+    """``CrashReport`` as the landed build decodes it."""
+
+    digest: str
+    endpoint: str
 
 
 class LandedState(msgspec.Struct, kw_only=True):
@@ -107,3 +119,11 @@
     state = ControlState(version=3, body=b'{}', ledger_seed=SEED)
     landed = msgspec.msgpack.decode(encode(state), type=LandedState)
     assert (landed.version, landed.ledger_seed) == (3, SEED)
+
+
+def test_reports_of_crashes_are_understood_both_ways() -> None:
+    endpoint = EndpointId('e')
+    assert decode_request(LANDED_CRASH) == CrashReport('d', endpoint)
+    report = encode(CrashReport('d', endpoint, born_ms=5))
+    landed = msgspec.msgpack.decode(report, type=LandedCrashReport)
+    assert landed == LandedCrashReport('d', 'e')
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/test_quarantine.py
@@ -24,6 +24,15 @@
     assert quarantine.active_digests() == ('bad',)
 
 
+# Guards against a request that crashes the same endpoints again and again.
+def test_endpoints_that_start_again_under_their_ids_count_again() -> None:
+    quarantine = Quarantine(ManualClock())
+    for born_ms in (1_000, 2_000, 2_000, 3_000):
+        assert not quarantine.active_digests()
+        quarantine.record_crash(CrashReport('bad', EndpointId('a'), born_ms))
+    assert quarantine.active_digests() == ('bad',)
+
+
 def test_quarantine_expires() -> None:
     clock = ManualClock()
     quarantine = Quarantine(clock)
