Report recent crashes again to a new control leader

Cause: crashes are counted in the memory of the leader only.

Entries keep what they have reported for 60 s, as long as a quarantine lasts, and report it again when a view comes from another term. No message is new.

Test: test_recent_crashes_are_reported_to_a_new_leader; there was no such call before.

--- a/src/acaciaramp/coordination/follower.py
+++ b/src/acaciaramp/coordination/follower.py
@@ -180,6 +180,11 @@
                 reason=exc,
             )
 
+    @property
+    def term(self) -> int:
+        """Term of the leader that published the view; 0 before the first."""
+        return self._number.term
+
     def silence_ms(self) -> int | None:
         """Return the milliseconds since the last reply to a report.
 
--- a/src/acaciaramp/forwarding/crashes.py
+++ b/src/acaciaramp/forwarding/crashes.py
@@ -41,6 +41,9 @@
 _MAX_DIALS_AT_ONCE = 8
 # Endpoints that have crashed stay on the instance list for some seconds.
 _SUSPICION_MS = 15_000
+# As long as a request stays in quarantine. A new control leader knows no crashes.
+_REPORT_MEMORY_MS = 60_000
+_MAX_REPORTED = 256
 # An endpoint that has responded to anything within this time before an attempt timed
 # out is slow at most.
 _SILENCE_MS = 500
@@ -114,7 +117,8 @@
         Args:
             refuses_connections: Opens a connection to an endpoint; returns
                 whether the endpoint has refused it.
-            report: Called once for each request and lifetime.
+            report: Called for each request and lifetime, again for a new
+                control leader.
             clock: Source of time.
         """
         self._refuses_connections = refuses_connections
@@ -126,6 +130,7 @@
         self._heard_ms: dict[Lifetime, int] = {}
         self._listed: dict[EndpointId, Endpoint] | None = None
         self._dial_due = anyio.Event()
+        self._reported_ms: dict[Crash, int] = {}
 
     def suspect(self, digest: str, endpoint: Endpoint) -> None:
         """Record that the connection of a request was lost."""
@@ -180,6 +185,15 @@
         for suspect in list(self._suspects.values()):
             self._judge(suspect, listed.get(suspect.endpoint.id))
 
+    def report_again(self) -> None:
+        """Report all recent crashes, as there is another control leader."""
+        oldest_ms = self._clock.now_ms() - _REPORT_MEMORY_MS
+        for crash, at_ms in list(self._reported_ms.items()):
+            if at_ms < oldest_ms:
+                self._reported_ms.pop(crash)
+            else:
+                self._report(crash)
+
     async def run(self) -> None:
         """Dial suspects until cancelled."""
         while True:
@@ -218,7 +232,7 @@
         if len(suspect.failed_ms) > _MAX_SUSPECTED_REQUESTS:
             suspect.failed_ms.pop(next(iter(suspect.failed_ms)))
         if suspect.end:
-            self._report(Crash(digest, lifetime))
+            self._report_first(Crash(digest, lifetime))
         elif self._listed is not None:
             # The list may have shown the end before the attempt timed out.
             self._judge(suspect, self._listed.get(endpoint.id))
@@ -262,7 +276,13 @@
             digests=digests,
         )
         for digest in digests:
-            self._report(Crash(digest, lifetime))
+            self._report_first(Crash(digest, lifetime))
+
+    def _report_first(self, crash: Crash) -> None:
+        self._reported_ms[crash] = self._clock.now_ms()
+        if len(self._reported_ms) > _MAX_REPORTED:
+            self._reported_ms.pop(next(iter(self._reported_ms)))
+        self._report(crash)
 
     def _drop_old(self) -> None:
         oldest_ms = self._clock.now_ms() - _SUSPICION_MS
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -99,6 +99,7 @@
         self._adapter = adapter
         self._router = Router(rng)
         self._entries = 0
+        self._leader_term = 0
         self._quota = Quota(
             self._request_tokens, GRANT_LIFETIME_MS, context.clock
         )
@@ -375,6 +376,9 @@
             self._replace_endpoints(view.endpoints)
         self._selector.replace_evacuated(view.evacuated)
         self._gateway.quarantined = frozenset(view.quarantined)
+        if self._follower.term != self._leader_term:
+            self._leader_term = self._follower.term
+            self._crashes.report_again()
         self._paths.replace_peers(view)
         self._loads.replace_peers(view)
         entries = len(view.entries)
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -214,6 +214,22 @@
     run(route, scenario, unresponsive)
 
 
+# Guards against a request that crashes endpoints anew after each change of the
+# control leader.
+def test_recent_crashes_are_reported_to_a_new_leader() -> None:
+    watched = WatchedEndpoint()
+    watched.lose('old')
+    watched.watch.observe([])
+    watched.clock.advance(30_000)
+    second = build.listed_endpoint('e-2')
+    watched.watch.suspect('new', second)
+    watched.watch.report_again()
+    assert watched.digests == ['old', 'new', 'old', 'new']
+    watched.clock.advance(30_001)
+    watched.watch.report_again()
+    assert watched.digests[4:] == ['new']
+
+
 # Guards against timers that run on every entry while nothing has failed.
 def test_the_watch_waits_until_an_endpoint_is_suspected() -> None:
     async def main() -> int:
