--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -205,6 +205,10 @@
         contents = self._contents_of(key)
         return None if contents is None else b''.join(contents)
 
+    def has_turn(self, key: TurnKey) -> bool:
+        """Return whether a turn is stored."""
+        return key in self._turns
+
     def chain_bytes(self, key: TurnKey) -> int:
         """Return the size of a turn and its predecessors; 0 without one."""
         return sum(map(len, self._contents_of(key) or ()))
--- a/src/acaciaramp/conversations/replica.py
+++ b/src/acaciaramp/conversations/replica.py
@@ -140,18 +140,13 @@
         """
         while True:
             await self._clock.sleep_ms(_SWEEP_PERIOD_MS)
-            if not self.group.is_serving or not self._room.is_half_full:
-                continue
-            try:
+            if self.group.is_serving and self._room.is_half_full:
                 await self.sweep()
-            except CallError as exc:
-                logger.info('Expired turns were not removed.', reason=exc)
 
     async def sweep(self) -> None:
         """Remove expired turns if they take much of the room.
 
-        Raises:
-            CallError: This replica does not lead any more.
+        They stay if this replica loses its leadership meanwhile.
         """
         now_ms = self._time.now_ms(self.group.replica.term, 0)
         expired_bytes = self._ledger.expired_bytes(now_ms)
@@ -163,7 +158,7 @@
             for _ in range(self._ledger.commands_until_sweep):
                 tasks.start_soon(self._propose_nothing)
         logger.info(
-            'Removed expired turns, as there is little room.',
+            'Let expired turns be removed, as there is little room.',
             expired_bytes=expired_bytes,
             held_before=held_bytes,
             held_bytes=self._room.held_bytes,
@@ -222,7 +217,12 @@
     async def _close(self, command: CloseTurn) -> LedgerReply:
         """Close a turn; only settle it if there is no room to store it."""
         kept = command.kept
-        if kept is None or self._room.can_store(len(kept.content)):
+        # A command that was sent again needs no more room.
+        if (
+            kept is None
+            or self._ledger.has_turn(command.turn)
+            or self._room.can_store(len(kept.content))
+        ):
             reply = await self._propose(command)
             self._room.release(command.turn)
             return reply
@@ -238,7 +238,12 @@
         return CloseReply(is_stored=False, has_room=False)
 
     async def _propose_nothing(self) -> None:
-        await self._propose(CloseTurn(turn=_NO_TURN))
+        try:
+            await self._propose(CloseTurn(turn=_NO_TURN))
+        except CallError as exc:
+            logger.info(
+                'A command without effect was not committed.', reason=exc
+            )
 
     async def _propose(
         self, command: OpenTurn | CloseTurn
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -402,7 +402,7 @@
         # The ledger of all regions gets neither the content nor the chain.
         opened = await self.open(
             msgspec.structs.replace(
-                plan, previous=None, content=b'', regions=None
+                plan, previous=None, content=b'', retention_ms=0, regions=None
             ),
             wait_ms,
         )
--- a/src/acaciaramp/forwarding/connections.py
+++ b/src/acaciaramp/forwarding/connections.py
@@ -31,7 +31,7 @@
 # avoid that a request is sent on a connection that the endpoint is closing.
 _IDLE_MARGIN_MS = 700
 
-# The read that completes a head may contain up to 64 KiB of the body.
+# All heads of one response together, and the part of the body that comes with them.
 _MAX_HEAD_BYTES = 98_304
 # Many short informational responses are parsed without a wait between them.
 _HEAD_PART_BYTES = 4_096
--- a/tests/conversations/test_homes.py
+++ b/tests/conversations/test_homes.py
@@ -83,12 +83,13 @@
         previous: str | None = None,
         regions: frozenset[str] | None = FAR,
         most_tokens: int = 30,
+        budget: int | None = 50,
     ) -> bytes:
         """Open and commit a turn of 10 tokens; return its body."""
         plan = TurnPlan(
             key=TurnKey(build.WORKSPACE, name),
             program=ProgramId('p'),
-            budget=50,
+            budget=budget,
             most_tokens=most_tokens,
             previous=previous,
             content=BODY + name.encode(),
@@ -124,6 +125,16 @@
     run(scenario)
 
 
+# Guards against bound turns that fail with the ledger of other regions.
+def test_a_turn_without_a_budget_needs_the_ledger_of_its_region_only() -> None:
+    async def scenario(entry: Entry) -> None:
+        entry.common.is_down = True
+        await entry.run_turn('a', budget=None)
+        assert await entry.run_turn('b', 'a', budget=None)
+
+    run(scenario)
+
+
 def test_other_entry_finds_the_turn_and_keeps_no_copy_out_of_the_region() -> (
     None
 ):
--- a/tests/conversations/test_room.py
+++ b/tests/conversations/test_room.py
@@ -30,6 +30,7 @@
     LedgerRoom,
     RoomLimits,
 )
+from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import ProgramId
 from acaciaramp.metrics.client import Metrics
 from tests import builders as build
@@ -46,6 +47,7 @@
     """A group whose replica leads and applies each command at once."""
 
     is_serving = True
+    leads = True
 
     def __init__(self, ledger: Ledger) -> None:
         """Create the group of a ledger."""
@@ -54,7 +56,9 @@
         self._ledger = ledger
 
     async def propose_for_caller(self, payload: bytes) -> object:
-        """Apply a command."""
+        """Apply a command unless the leadership was lost."""
+        if not self.leads:
+            raise CallError(ErrorCode.NOT_LEADER, 'does not lead')
         return self._ledger.apply(payload)
 
 
@@ -63,6 +67,7 @@
 
     Attributes:
         clock: Its clock.
+        group: Its group.
         ledger: The ledger.
         room: Its room.
         replica: Handles the requests.
@@ -73,7 +78,8 @@
         self.clock = ManualClock(1)
         self.ledger = Ledger()
         self.room = LedgerRoom(LIMITS, self.clock)
-        group: Any = LeadingGroup(self.ledger)
+        self.group = LeadingGroup(self.ledger)
+        group: Any = self.group
         self.replica = LedgerReplica(
             group, self.ledger, self.room, self.clock, Metrics()
         )
@@ -170,6 +176,27 @@
     assert store.open('late', LONG_BYTES) is OpenOutcome.OPENED
 
 
+# Guards against a process that ends as its replica is deposed during a sweep.
+def test_a_sweep_ends_quietly_if_the_leadership_is_lost() -> None:
+    store = Store()
+    store.fill()
+    store.clock.advance(RETENTION_MS + EXPIRY_MARGIN_MS + 1)
+    store.group.leads = False
+    anyio.run(store.replica.sweep)
+    assert store.room.held_bytes > LIMITS.most_large_bytes // 2
+
+
+# Guards against a turn that is stored, and then called not stored as its command was
+# sent again while the ledger had become full.
+def test_a_command_that_was_sent_again_needs_no_room() -> None:
+    store = Store()
+    store.fill()
+    stored = 0
+    while store.close(f'more-{stored}', LONG_BYTES).is_stored:
+        stored += 1
+    assert store.close('more-0', LONG_BYTES).is_stored
+
+
 def test_nothing_is_swept_before_it_expires() -> None:
     store = Store()
     count = store.fill()
