Open a turn again that is open, and settle nothing for refused ones

Found by reading: an entry released each turn that the ledger had refused for lack of room, as an earlier command may have reserved its tokens. Each release is a command that leaves an account and a key behind, so that refused turns would have filled the ledger further.

The leader knows whether the tokens of a turn are reserved. It opens such a turn again without asking for room, so that nothing is left to be released after a refusal.

Tests: test_a_turn_that_is_open_is_opened_again_without_room, and one more check in test_a_retained_turn_is_refused_at_once_if_the_ledger_is_full; both failed before.

--- a/src/acaciaramp/conversations/ledger.py
+++ b/src/acaciaramp/conversations/ledger.py
@@ -209,6 +209,15 @@
         """Return whether a turn is stored."""
         return key in self._turns
 
+    def is_open(self, command: OpenTurn) -> bool:
+        """Return whether the tokens of a turn are reserved already."""
+        requested = command.reservation
+        if requested is None:
+            return False
+        owner = (command.turn.workspace, requested.program)
+        account = self._accounts.get(owner)
+        return account is not None and command.turn.attempt in account.reserved
+
     def chain_bytes(self, key: TurnKey) -> int:
         """Return the size of a turn and its predecessors; 0 without one."""
         return sum(map(len, self._contents_of(key) or ()))
--- a/src/acaciaramp/conversations/replica.py
+++ b/src/acaciaramp/conversations/replica.py
@@ -190,6 +190,9 @@
 
     def _check_room(self, command: OpenTurn) -> OpenOutcome | None:
         """Reserve room for a turn; return the outcome if there is none."""
+        # A command that was sent again opens the turn as before.
+        if self._ledger.is_open(command):
+            return None
         outcome = None
         if self._chain_bytes(command) > MAX_CHAIN_BYTES:
             outcome = OpenOutcome.TOO_LONG
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -53,9 +53,6 @@
 _LEAST_OUTPUT_BYTES = 4_096
 
 
-_ROOM_OUTCOMES = frozenset((OpenOutcome.NO_ROOM, OpenOutcome.TOO_LONG))
-
-
 class TurnPlan(msgspec.Struct, frozen=True, kw_only=True):
     """Parameters of a turn that is about to be opened.
 
@@ -276,9 +273,6 @@
             # Cancelled: the ledger may have reserved the tokens already.
             self.release(plan)
             raise
-        if reply.outcome in _ROOM_OUTCOMES:
-            # An earlier attempt may have been committed without a reply.
-            self.release(plan)
         if reply.outcome is not OpenOutcome.OPENED:
             raise _refusal(plan, reply)
         chain = reply.chain if cached is None else cached
--- a/tests/conversations/test_room.py
+++ b/tests/conversations/test_room.py
@@ -166,6 +166,17 @@
     assert not account.spent
 
 
+# Guards against tokens that stay reserved for a turn whose first reply was lost.
+def test_a_turn_that_is_open_is_opened_again_without_room() -> None:
+    store = Store()
+    assert store.open('again', LONG_BYTES) is OpenOutcome.OPENED
+    store.fill()
+    store.clock.advance(OPEN_MS + 1)
+    store.fill()
+    assert store.open('other', LONG_BYTES) is OpenOutcome.NO_ROOM
+    assert store.open('again', LONG_BYTES) is OpenOutcome.OPENED
+
+
 def test_expired_turns_make_room_though_all_turns_are_refused() -> None:
     store = Store()
     store.fill()
--- a/tests/forwarding/test_gateway.py
+++ b/tests/forwarding/test_gateway.py
@@ -599,11 +599,14 @@
 def test_a_retained_turn_is_refused_at_once_if_the_ledger_is_full() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         harness.ledger.has_room = False
-        caller = await harness.request('a1')
+        caller = await harness.request('a1', *TURN_HEADERS)
         assert caller.status == 503
         assert float(caller.headers[b'retry-after']) > 0
         assert not fakes[0].received
         assert harness.metrics.counts['refused.ledger_full'] == 1
+        await anyio.wait_all_tasks_blocked()
+        # Refused turns must not fill the ledger further.
+        assert not harness.ledger.closed
 
     run(RETAINED, scenario, streamed)
 
