Give ordinary turns a quarter of the memory of a storage instance

Cause: gave all turns an eighth of the memory.

All turns have a quarter of the memory now; those over 64 KiB have 3/32, as before.

Test: test_ordinary_turns_of_a_grown_fleet_find_room, which fails with an eighth.

--- a/src/acaciaramp/conversations/room.py
+++ b/src/acaciaramp/conversations/room.py
@@ -17,19 +17,20 @@
     from acaciaramp.conversations.ledger import Ledger
     from acaciaramp.conversations.messages import OpenTurn, TurnKey
 
-# The state is in memory three times while the log is compacted: as such, and in the
-# old and the new snapshot. The rest is for an idle process, the log, and frames.
-_STATE_FRACTION = 0.125
-# The rest is kept for small turns, so that ordinary callers are served while others
-# fill the ledger with long ones.
-_LARGE_FRACTION = 0.75
+# Half of what small turns take are objects, which are in memory once. The rest of the
+# memory is for an idle process, snapshots, the log, and frames.
+_STATE_FRACTION = 0.25
+# Contents are in memory three times while the log is compacted: as such, and in the
+# old and the new snapshot. What is left of the state is kept for small turns, so that
+# ordinary callers are served while others fill the ledger with long ones.
+_LARGE_FRACTION = 0.09375
 # A turn that was opened may turn out larger than its sender expected, and entries of
 # builds that expect nothing do not reserve.
 _CLOSE_FACTOR = 1.25
-# A snapshot of a state up to this times the limit fits into the memory.
+# A snapshot of large contents up to this times their limit fits into the memory.
 _COMPACTED_FACTOR = 2
 # Each chain that is sent is in memory several times until it is written.
-_CHAINS_FRACTION = 0.25
+_CHAINS_FRACTION = 0.03125
 MAX_CHAIN_BYTES = 8_388_608
 # An account, the key of the turn and the turn itself, besides its content.
 _TURN_OVERHEAD_BYTES = 1_024
@@ -56,11 +57,10 @@
             memory_mb: Memory of the process; None for the default.
         """
         memory = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
-        most_bytes = int(memory * _STATE_FRACTION)
         return cls(
-            most_bytes,
-            int(most_bytes * _LARGE_FRACTION),
-            int(most_bytes * _CHAINS_FRACTION),
+            int(memory * _STATE_FRACTION),
+            int(memory * _LARGE_FRACTION),
+            int(memory * _CHAINS_FRACTION),
         )
 
 
@@ -116,7 +116,11 @@
     def is_half_full(self) -> bool:
         """Whether it is worth while to remove what has expired."""
         used_bytes = self.held_bytes + self.reserved_bytes
-        return 2 * used_bytes > self.limits.most_bytes
+        large_bytes = self._held(is_large=True) + self._reserved_bytes[True]
+        return (
+            2 * used_bytes > self.limits.most_bytes
+            or 2 * large_bytes > self.limits.most_large_bytes
+        )
 
     def may_compact(self) -> bool:
         """Return whether there is memory for a snapshot.
@@ -124,8 +128,8 @@
         A state that another build or a larger machine has stored may be too large
         for one, until enough of it has expired.
         """
-        most_bytes = _COMPACTED_FACTOR * self.limits.most_bytes
-        return self.held_bytes <= most_bytes
+        most_bytes = _COMPACTED_FACTOR * self.limits.most_large_bytes
+        return self._held(is_large=True) <= most_bytes
 
     def reserve(self, command: OpenTurn) -> bool:
         """Reserve room for a turn that is to be opened.
