tests: Show the memory that uncontrolled callers take from a process

Callers saw an entry end over its memory while others sent trailers without end, many bodies that stop just short of their end, or whole large turns.

Watch and the settings move to tests/memory/watch.py, unchanged, as several modules need them; the configuration has a route that retains turns beside the other one.

--- a/tests/memory/callers.py
+++ b/tests/memory/callers.py
@@ -99,6 +99,40 @@
     return head(f'Content-Length: {size}', target=target) + size * b'x'
 
 
+def short(size: int, *fields: str) -> bytes:
+    """Return a request whose announced body lacks its last byte."""
+    start = head(f'Content-Length: {size}', *fields)
+    return start + (size - 1) * b'x'
+
+
+def endless_trailer(start: bytes, size: int, target: str = '/form') -> bytes:
+    """Return a request with an incomplete field after its chunked body.
+
+    Args:
+        start: Start of the field.
+        size: Number of bytes after it.
+        target: Path of the request.
+    """
+    body = b'1\r\nx\r\n0\r\n'
+    sent_head = head('Transfer-Encoding: chunked', target=target)
+    return sent_head + body + start + size * b'x'
+
+
+def turns(program: str, count: int, size: int, target: str) -> bytes:
+    """Return turns of a program, each with a whole body, one after the other."""
+    fields = (
+        f'Content-Length: {size}',
+        f'X-Program-Id: {program}',
+        'X-Token-Counts: 1,1',
+    )
+    start = head(*fields, target=target)
+    return b''.join(
+        start.replace(b'Attempt-Id: a', f'Attempt-Id: {program}-{n}'.encode())
+        + size * b'x'
+        for n in range(count)
+    )
+
+
 def pipelined(count: int) -> bytes:
     """Return requests at a path that no route has, one after the other."""
     return count * head(target='/none', method='GET')
--- a/tests/memory/processes.py
+++ b/tests/memory/processes.py
@@ -59,11 +59,13 @@
         pid: Its process id.
         address: Its listener for callers or operators.
         request: Sends one ordinary request and returns its response.
+        readiness: Listener of an entry for the load balancer.
     """
 
     pid: int
     address: Address
     request: Callable[[], Response]
+    readiness: Address | None = None
 
     @property
     def peak_bytes(self) -> int:
@@ -255,6 +257,7 @@
                     b'ordinary',
                     {'Host': 'example.test', 'X-Attempt-Id': 'ordinary'},
                 ),
+                readiness,
             )
 
     @contextlib.contextmanager
--- a/tests/memory/test_callers.py
+++ b/tests/memory/test_callers.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import sys
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -16,97 +15,29 @@
 from tests.memory import callers
 from tests.memory.processes import (
     Address,
-    Fleet,
-    Process,
     replace_config,
-    running_stand_in,
     send_request,
 )
+from tests.memory.watch import (
+    BODY_BYTES,
+    CONFIG,
+    GROWTH_BYTES,
+    MB,
+    SERVE_GROWTH_BYTES,
+    SETTINGS,
+    Watch,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-MB = 1_000_000
-KIB = 1_024
-# Half of the memory of the smallest machine, an entry with 128 MB, so that few
-# callers show the fault.
-MEMORY_MB = 64
-# Half of it again: an idle process takes 45 MB of 128 MB, and what it holds for
-# callers at most half of them.
-GROWTH_BYTES = MEMORY_MB * MB // 2
+    from tests.memory.processes import Fleet
+
 # For bodies in chunks of one byte, which take a second for each MiB.
 SMALL_MEMORY_MB = 16
 SMALL_GROWTH_BYTES = SMALL_MEMORY_MB * MB // 2
-# ``acaciaramp serve`` runs with its default, that of an entry of 128 MB.
-SERVE_GROWTH_BYTES = 64 * MB
-MAX_DESCRIPTORS = 150
-SETTINGS = {'memory_mb': MEMORY_MB, 'max_descriptors': MAX_DESCRIPTORS}
 SMALL_SETTINGS = {**SETTINGS, 'memory_mb': SMALL_MEMORY_MB}
-BODY_BYTES = 4_194_304
 SHORT_OF_IT = 3_932_160
 CHUNK = 65_536
 END = b'0\r\n\r\n'
-# Longer than any test, so that what is left open stays open unless the process
-# closes it to keep within its memory.
-LONG_MS = 120_000
-CONFIG = {
-    'version': 1,
-    'routes': [
-        {
-            'name': 'form',
-            'host': 'example.test',
-            'pathPrefix': '/form',
-            'routeKind': 'non_idempotent',
-            'timeoutMs': LONG_MS,
-            'service': 'form',
-            'public': True,
-        }
-    ],
-    'services': [{'name': 'form'}],
-    'limits': {
-        'maxHeaderBytes': 16_384,
-        'maxBodyBytes': BODY_BYTES,
-        'headerTimeoutMs': LONG_MS,
-        'idleTimeoutMs': LONG_MS,
-    },
-}
-
-
-@pytest.fixture(scope='module')
-def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
-    """Run what an entry needs, with ``CONFIG`` in force."""
-    with running_stand_in() as address:
-        folder = tmp_path_factory.mktemp('fleet')
-        with Fleet(folder, address).running(CONFIG) as running:
-            yield running
-
-
-class Watch:
-    """Checks a process against its bounds."""
-
-    def __init__(self, process: Process, growth_bytes: int) -> None:
-        """Warm the process up and read its memory while it is idle."""
-        self._process = process
-        self._growth_bytes = growth_bytes
-        process.warm_up()
-        self._idle_bytes = process.peak_bytes
-
-    def check(self, max_descriptors: int = MAX_DESCRIPTORS) -> None:
-        """Check the process while callers keep their connections open."""
-        process = self._process
-        assert process.is_alive
-        status = process.request().status
-        # The largest memory is read last, so that it includes what came until
-        # the ordinary request was answered.
-        descriptors = process.descriptors
-        grown = process.peak_bytes - self._idle_bytes
-        sys.stdout.write(
-            f'idle {self._idle_bytes} B, grown {grown} B, bound '
-            f'{self._growth_bytes} B; {descriptors} descriptors\n'
-        )
-        assert status == 200
-        assert grown < self._growth_bytes
-        assert descriptors < max_descriptors
 
 
 def large_chunks(*fields: str, target: str = '/form') -> list[bytes]:
