http: Send no second response to a request that was answered early

Callers saw: a request that is answered before its body has ended, such as one to the readiness port, and whose body is malformed got a 400 after its response. A caller that reuses the connection takes it for the response to its next request.

Cause: a rejection is sent once no response is due before it, whichever request it is for.

The connection is now closed without a response if the rejected body belongs to a request that has been answered. test_a_rejection_is_not_sent_after_the_response_to_its_request failed before (two responses, both protocols), and passes.

--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -83,6 +83,7 @@
         self._rejection: bytes | None = None
         self._linger_timer: asyncio.TimerHandle | None = None
         self._is_reading_headers = True
+        self._is_reading_body = False
 
     def connection_made(self, transport: Any) -> None:
         """Open the account; refuse the connection if there is no room for it."""
@@ -165,6 +166,7 @@
                 UNAVAILABLE, f'{_MAX_UNANSWERED} requests wait for responses'
             )
         self._is_reading_headers = False
+        self._is_reading_body = True
         self.scope['extensions'] = target_extension(self.url)
         super().on_headers_complete()
         self.cycle.transport = CountedTransport(  # type: ignore[assignment]
@@ -183,6 +185,7 @@
     def on_message_complete(self) -> None:
         """End the body of the request unless its head is to be parsed again."""
         if not self.parser.should_upgrade():
+            self._is_reading_body = False
             super().on_message_complete()
 
     def on_response_complete(self) -> None:
@@ -216,8 +219,9 @@
     def reject(self, status: bytes, message: str) -> None:
         """Respond with a status and close the connection.
 
-        The response is sent after those of the requests before. Nothing happens
-        if a request was rejected already or the connection is closing.
+        The response is sent after those of the requests before. There is none if
+        the request was answered before its body had ended. Nothing happens if a
+        request was rejected already or the connection is closing.
 
         Args:
             status: Status code and reason phrase.
@@ -230,6 +234,9 @@
             headers += _retry_after()
         if status != UNAVAILABLE:
             self.record_rejection(message)
+        if self._is_reading_body and self.cycle.response_complete:
+            self._stop_parsing()
+            return
         self._rejection = _rejection_head(status, headers, len(body)) + body
         self._drop_incomplete_head()
         self._drop_incomplete_request()
@@ -276,6 +283,10 @@
         if not (self.is_receiving_body or self.pipeline):
             self._held.close_when_read()
             return
+        self._stop_parsing()
+
+    def _stop_parsing(self) -> None:
+        """Close the connection after the bytes that were written."""
         self._rejection = b''
         self.pipeline.clear()
         self._linger()
--- a/tests/util/test_http_rejections.py
+++ b/tests/util/test_http_rejections.py
@@ -141,6 +141,31 @@
     assert anyio.run(scenario).endswith(b'4\r\nhalf\r\n')
 
 
+# Guards against a second response to a request, which the caller would take for
+# that to its next one.
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_a_rejection_is_not_sent_after_the_response_to_its_request(
+    protocol: Any,
+) -> None:
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        headers = [(b'content-length', b'0')]
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': headers}
+        )
+        await send({'type': 'http.response.body'})
+
+    async def scenario() -> bytes:
+        async with connected(app, protocol) as stream:
+            await stream.send(_CHUNK)
+            await anyio.sleep(0.02)
+            await stream.send(_MALFORMED)
+            return await read_to_end(stream)
+
+    received = anyio.run(scenario)
+    assert received.startswith(b'HTTP/1.1 200 ')
+    assert received.count(b'HTTP/1.1 ') == 1
+
+
 # Guards against an interim response that is written after the rejection, which
 # fails the request with an internal error.
 def test_a_rejected_body_is_not_asked_for() -> None:
