http: Limit the bytes of fields after a body

Callers saw: an entry went from 37 to 145 MB within seconds and was killed while 40 callers sent one field after a chunked body without end; all its requests were cut.

Cause: httptools collects a field until its line ends, before it reports it. What was fed to the parser after the head counted only as body, so that neither the limit on headers nor the budget saw the field.

Bytes since the last part of a body now count in the budget and have the limit on headers (431 beyond it). The count begins anew with each part of content, so that it covers sizes and extensions of chunks as well. It is made in RequestProtocol, which serves callers, the balancer, operators and acaciaramp serve.

--- a/src/acaciaramp/util/header_limits.py
+++ b/src/acaciaramp/util/header_limits.py
@@ -6,6 +6,7 @@
 
 from acaciaramp.clock import MS_PER_SECOND
 from acaciaramp.util.http_protocol import (
+    HEADERS_TOO_LARGE,
     TIMEOUT,
     RejectedError,
     RequestProtocol,
@@ -15,15 +16,14 @@
     import asyncio
     from collections.abc import Callable
 
-_HEADERS_TOO_LARGE = b'431 Request Header Fields Too Large'
-
 
 class HeaderLimits(NamedTuple):
     """Limits on the headers of a request.
 
     Attributes:
         most_bytes: Maximum size of all names and values together, and of the
-            bytes received before the headers are complete.
+            bytes received before the headers are complete. It applies to the
+            fields after a body as well.
         longest_ms: Maximum time to receive the headers, milliseconds; it
             starts at their first byte, or at an earlier call of
             ``start_header_timer``.
@@ -66,6 +66,10 @@
         if self._is_reading_headers and is_oversized:
             self._reject_oversized()
 
+    def most_framing_bytes(self) -> int:
+        """Return the limit on headers."""
+        return self._header_limits().most_bytes
+
     def on_message_begin(self) -> None:
         """Start the header timer, unless it is running already."""
         if self._header_timer is None:
@@ -100,7 +104,7 @@
     def _reject_oversized(self) -> RejectedError:
         max_bytes = self._header_limits().most_bytes
         return self.rejected(
-            _HEADERS_TOO_LARGE,
+            HEADERS_TOO_LARGE,
             f'headers may have {max_bytes} bytes at most',
         )
 
--- a/src/acaciaramp/util/held_bytes.py
+++ b/src/acaciaramp/util/held_bytes.py
@@ -55,9 +55,9 @@
 class HeldBytes:
     """What one connection holds.
 
-    These are headers while they arrive, requests with their bodies until their
-    responses have been sent, and bytes of responses that the caller has not
-    read.
+    These are headers and fields after a body while they arrive, requests with
+    their bodies until their responses have been sent, and bytes of responses that
+    the caller has not read.
     """
 
     def __init__(self, connection: Connection, budget: CallerBudget) -> None:
@@ -66,6 +66,7 @@
         self._budget = budget
         self._account: Account | None = None
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._request_bytes: collections.deque[int] = collections.deque()
         self._is_aborted = False
         self._is_ending = False
@@ -124,6 +125,10 @@
         """Count bytes of the body of the newest request."""
         self._request_bytes[-1] += size
 
+    def set_framing(self, size: int) -> None:
+        """Count bytes of which the parser may keep a field after a body."""
+        self._framing_bytes = size
+
     def end_oldest(self) -> None:
         """Forget the oldest request, as its response is complete."""
         self._request_bytes.popleft()
@@ -160,7 +165,8 @@
         """Return the number of bytes that are held for the caller."""
         if self._is_aborted:
             return 0
-        return self._head_bytes + sum(self._request_bytes) + self._unread_bytes
+        incoming_bytes = self._head_bytes + self._framing_bytes
+        return incoming_bytes + sum(self._request_bytes) + self._unread_bytes
 
     def is_ending(self) -> bool:
         """Return whether the last response was written."""
--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -31,6 +31,7 @@
 
 BAD_REQUEST = b'400 Bad Request'
 TIMEOUT = b'408 Request Timeout'
+HEADERS_TOO_LARGE = b'431 Request Header Fields Too Large'
 _NOT_RUN = frozenset((TIMEOUT, UNAVAILABLE))
 _UPGRADE = b'upgrade'
 _CONNECT = b'CONNECT'
@@ -43,6 +44,8 @@
 _PARSED_BYTES = 16_384
 # Clients that send requests before the responses to earlier ones send a few.
 _MAX_UNANSWERED = 64
+# As much as the headers of a request may have by default.
+_MAX_FRAMING_BYTES = 16_384
 # Random, so that callers that are refused at once do not come back at once.
 _RETRY_AFTER_S = (0.2, 0.5)
 
@@ -84,6 +87,8 @@
         self._linger_timer: asyncio.TimerHandle | None = None
         self._is_reading_headers = True
         self._is_reading_body = False
+        # Bytes since the last part of a body, or since the headers before it.
+        self._framing_bytes = 0
 
     def connection_made(self, transport: Any) -> None:
         """Open the account; refuse the connection if there is no room for it."""
@@ -120,12 +125,33 @@
             self._held.update()
 
     def feed(self, data: bytes) -> None:
-        """Parse a part of what has arrived."""
+        """Parse a part of what has arrived.
+
+        The parser collects a field after the body until it is complete. Such
+        fields, and what precedes a chunk, have a limit of their own.
+        """
+        self._framing_bytes += len(data)
         unparsed = data
         while unparsed:
             unparsed = self._parse(unparsed)
         if self._is_reading_headers:
             self._held.add_incomplete_head(len(data))
+        if not self._is_reading_body:
+            self._framing_bytes = 0
+        self._held.set_framing(self._framing_bytes)
+        most_bytes = self.most_framing_bytes()
+        if self._framing_bytes > most_bytes:
+            self.reject(
+                HEADERS_TOO_LARGE,
+                f'fields after a body may have {most_bytes} bytes at most',
+            )
+
+    def most_framing_bytes(self) -> int:
+        """Return the limit on bytes of a chunked body that are not its content.
+
+        It applies between two parts of the content and after the last one.
+        """
+        return _MAX_FRAMING_BYTES
 
     def on_message_begin(self) -> None:
         """Begin to read the head of a request."""
@@ -167,6 +193,7 @@
             )
         self._is_reading_headers = False
         self._is_reading_body = True
+        self._framing_bytes = 0
         self.scope['extensions'] = target_extension(self.url)
         super().on_headers_complete()
         self.cycle.transport = CountedTransport(  # type: ignore[assignment]
@@ -178,6 +205,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add to the body of the newest request, unless it was answered."""
+        self._framing_bytes = 0
         if not self.cycle.response_complete:
             self._held.add_body(len(body))
             super().on_body(body)
--- a/tests/util/test_http_rejections.py
+++ b/tests/util/test_http_rejections.py
@@ -141,11 +141,54 @@
     assert anyio.run(scenario).endswith(b'4\r\nhalf\r\n')
 
 
+# Guards against a parser that collects an incomplete field without a bound, and
+# against a size of a chunk that has no end.
+@pytest.mark.parametrize(
+    'start', [b'0\r\nx-trailer: ', b'0\r\n', b'1;a=', b'1;a="'], ids=repr
+)
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_a_field_without_end_after_a_body_is_rejected(
+    protocol: Any, start: bytes
+) -> None:
+    app = RecordingApp()
+
+    async def scenario() -> bytes:
+        async with connected(app, protocol) as stream:
+            await stream.send(_CHUNK + start + 100_000 * b'y')
+            return await read_to_end(stream)
+
+    assert anyio.run(scenario).startswith(b'HTTP/1.1 431 ')
+    assert not app.received
+
+
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+def test_fields_after_a_body_within_the_limit_are_accepted(
+    protocol: Any,
+) -> None:
+    app = RecordingApp()
+    fields = b'x: %s\r\n' % (900 * b'y')
+    wire = _CHUNK + b'1;a=%s\r\nz\r\n0\r\n' % (900 * b'e') + fields + b'\r\n'
+
+    async def scenario() -> None:
+        async with connected(app, protocol) as stream:
+            for byte in wire:
+                await stream.send(bytes([byte]))
+            with anyio.fail_after(TIMEOUT_S):
+                while not app.received:
+                    await anyio.sleep(0.001)
+
+    anyio.run(scenario)
+    assert app.received == [('POST', b'/broken', b'xz')]
+
+
 # Guards against a second response to a request, which the caller would take for
 # that to its next one.
 @pytest.mark.parametrize('protocol', PROTOCOLS)
+@pytest.mark.parametrize(
+    'rest', [_MALFORMED, b'0\r\nx-trailer: ' + 100_000 * b'y']
+)
 def test_a_rejection_is_not_sent_after_the_response_to_its_request(
-    protocol: Any,
+    protocol: Any, rest: bytes
 ) -> None:
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         headers = [(b'content-length', b'0')]
@@ -158,7 +201,7 @@
         async with connected(app, protocol) as stream:
             await stream.send(_CHUNK)
             await anyio.sleep(0.02)
-            await stream.send(_MALFORMED)
+            await stream.send(rest)
             return await read_to_end(stream)
 
     received = anyio.run(scenario)
