forwarding: Release a part of a body once it has been added to the rest

Callers saw an entry over its memory under many bodies that stop just short of their end, though the bytes that it counted were within the budget.

Cause, from a trace of allocations with 200 bodies of 60 KB: 12 MB as the body and 12 MB as the message that brought it. The variable that names the last message lives on while the next one is awaited, so that a body that arrives in one part is held twice until its end.

The message is a variable of the call that receives it now.

--- a/src/acaciaramp/forwarding/caller.py
+++ b/src/acaciaramp/forwarding/caller.py
@@ -69,17 +69,16 @@
         if (self._announced_bytes or 0) > max_bytes:
             raise _too_large(max_bytes)
         received = bytearray()
-        while True:
-            message = await self._receive()
-            if message['type'] == _DISCONNECT:
+        is_complete = False
+        while not is_complete:
+            kind, is_complete = await self._receive_part(received)
+            if kind == _DISCONNECT:
                 return None
-            received += message.get('body', b'')
             if len(received) > max_bytes:
                 received.clear()
                 raise _too_large(max_bytes)
-            if not message.get('more_body', False):
-                self._is_body_refused = False
-                return bytes(received)
+        self._is_body_refused = False
+        return bytes(received)
 
     async def wait_disconnected(self) -> None:
         """Return when the caller has closed its connection.
@@ -122,6 +121,19 @@
         await self.start(status, headers)
         await self.finish(body)
 
+    async def _receive_part(self, received: bytearray) -> tuple[str, bool]:
+        """Add the next part of the body to what was received.
+
+        The message is released here: if the caller of this method had it, the
+        part would be held twice until the next one arrives.
+
+        Returns:
+            The type of the message, and whether the body is complete.
+        """
+        message = await self._receive()
+        received += message.get('body', b'')
+        return message['type'], not message.get('more_body', False)
+
 
 def announced_bytes(headers: RawHeaders) -> int | None:
     """Return the size of a body that headers announce, None if they do not."""
--- a/tests/forwarding/test_caller.py
+++ b/tests/forwarding/test_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import Any
 
 import anyio
@@ -55,6 +56,23 @@
     await caller.send_response(413, [], b'')
 
 
+# Guards against a part that is held beside the body that it was added to.
+def test_a_part_of_a_body_is_released_before_the_next_one_is_awaited() -> None:
+    parts = [bytes([number]) * MAX_BYTES for number in range(2)]
+    references: list[int] = []
+
+    async def receive() -> dict[str, Any]:
+        references.append(sys.getrefcount(parts[0]))
+        part = parts[len(references) - 1]
+        has_more = len(references) < len(parts)
+        return {'type': 'http.request', 'body': part, 'more_body': has_more}
+
+    caller = Caller(receive, FakeServer().send, should_close=bool)
+    body = anyio.run(caller.read_body, 2 * MAX_BYTES)
+    assert body == b''.join(parts)
+    assert references[1] == references[0]
+
+
 # Guards against bytes that are held though their end is known to be refused.
 def test_an_announced_body_over_the_limit_is_not_received() -> None:
     server = FakeServer(b'never received')
