util: Count the objects for connections and for served requests

Callers saw an entry over its memory under thousands of requests of a few bytes each that stay incomplete, though the budget was nearly empty.

Cause: only bytes were counted, and 2.5 KB for each request.

A connection counts as 8 KB and the request that it serves as 12 KB more. What counts as a large holder stays as it was: 64 KiB beside these.

--- a/src/acaciaramp/util/caller_budget.py
+++ b/src/acaciaramp/util/caller_budget.py
@@ -32,7 +32,8 @@
 _CONNECTIONS_FRACTION = 0.6
 _BACKLOG_FRACTION = 0.2
 _MAX_BACKLOG = 2_048
-_SMALL_BYTES = 65_536
+# 64 KiB beside the objects for a connection and the request that it serves.
+_SMALL_BYTES = 86_016
 
 
 class CloseReason(enum.Enum):
@@ -60,7 +61,8 @@
 
     Attributes:
         most_bytes: For all callers together.
-        most_large_bytes: For all callers of which each holds over 64 KiB.
+        most_large_bytes: For all callers of which each holds over 64 KiB beside
+            the objects for its connection and request.
         most_connection_bytes: For one connection.
         most_connections: Number of connections.
         backlog: Number of connections that wait to be accepted.
@@ -184,8 +186,8 @@
 
     The holder that goes first is the one with the largest product of its bytes
     and the time since its last progress: a body that stalls just short of its
-    end goes before one that is arriving. Holders of up to 64 KiB are evicted
-    only if the large ones are within their part.
+    end goes before one that is arriving. Holders of up to 64 KiB beside their
+    objects are evicted only if the large ones are within their part.
     """
 
     def __init__(
--- a/src/acaciaramp/util/held_bytes.py
+++ b/src/acaciaramp/util/held_bytes.py
@@ -13,8 +13,11 @@
     from acaciaramp.util.caller_budget import Account, CallerBudget
 
 UNAVAILABLE = b'503 Service Unavailable'
-# Memory of the objects for a request, and for each of its headers, beside the
-# bytes that were received, in CPython 3.11.
+# Memory of the objects for a connection, for the request of it that is being
+# served, for each request and for each of its headers, beside the bytes that were
+# received, in CPython 3.11.
+_CONNECTION_BYTES = 8_192
+_SERVED_REQUEST_BYTES = 12_288
 _REQUEST_BYTES = 2_560
 _HEADER_BYTES = 160
 # A caller that reads more slowly than its response arrives is cut off beyond this:
@@ -56,12 +59,12 @@
     """What one connection holds.
 
     These are headers and fields after a body while they arrive, requests with
-    their bodies until their responses have been sent, and bytes of responses that
-    the caller has not read.
+    their bodies until their responses have been sent, bytes of responses that
+    the caller has not read, and the objects for all of it.
     """
 
     def __init__(self, connection: Connection, budget: CallerBudget) -> None:
-        """Create it for a connection that holds nothing."""
+        """Create it for a connection without requests."""
         self._connection = connection
         self._budget = budget
         self._account: Account | None = None
@@ -165,8 +168,8 @@
         """Return the number of bytes that are held for the caller."""
         if self._is_aborted:
             return 0
-        incoming_bytes = self._head_bytes + self._framing_bytes
-        return incoming_bytes + sum(self._request_bytes) + self._unread_bytes
+        served_bytes = _SERVED_REQUEST_BYTES if self._request_bytes else 0
+        return _CONNECTION_BYTES + served_bytes + self._content_bytes
 
     def is_ending(self) -> bool:
         """Return whether the last response was written."""
@@ -219,6 +222,11 @@
                 _UNREAD_CHECK_S, self._check_read, unread_bytes
             )
 
+    @property
+    def _content_bytes(self) -> int:
+        incoming_bytes = self._head_bytes + self._framing_bytes
+        return incoming_bytes + sum(self._request_bytes) + self._unread_bytes
+
     @property
     def _is_receiving(self) -> bool:
         return bool(self._head_bytes) or self._connection.is_receiving_body
@@ -232,7 +240,9 @@
     @property
     def _is_slow_reader(self) -> bool:
         """Whether most of what is held are responses that are not read."""
-        if self._account is None or 2 * self._unread_bytes <= self.held_bytes():
+        if self._account is None:
+            return False
+        if 2 * self._unread_bytes <= self._content_bytes:
             return False
         is_paused: bool = self._connection.flow.write_paused
         return is_paused or self._account.stalled_s >= _SLOW_S
