util: Pass the limit on framing to connections, with fewer methods

The limit on framing is an argument now, the head without an upgrade is made by a function, and the count of framing an attribute.

--- a/src/acaciaramp/util/header_limits.py
+++ b/src/acaciaramp/util/header_limits.py
@@ -45,7 +45,11 @@
             header_limits: Returns the current limits.
             **kwargs: Arguments that uvicorn passes to every connection.
         """
-        super().__init__(**kwargs)
+
+        def most_bytes() -> int:
+            return header_limits().most_bytes
+
+        super().__init__(most_framing_bytes=most_bytes, **kwargs)
         self._header_limits = header_limits
         self._header_bytes = 0
         self._header_timer: asyncio.TimerHandle | None = None
@@ -66,10 +70,6 @@
         if self._is_reading_headers and is_oversized:
             self._reject_oversized()
 
-    def most_framing_bytes(self) -> int:
-        """Return the limit on headers."""
-        return self._header_limits().most_bytes
-
     def on_message_begin(self) -> None:
         """Start the header timer, unless it is running already."""
         if self._header_timer is None:
--- a/src/acaciaramp/util/held_bytes.py
+++ b/src/acaciaramp/util/held_bytes.py
@@ -61,6 +61,9 @@
     These are headers and fields after a body while they arrive, requests with
     their bodies until their responses have been sent, bytes of responses that
     the caller has not read, and the objects for all of it.
+
+    Attributes:
+        framing_bytes: Bytes of which the parser may keep a field after a body.
     """
 
     def __init__(self, connection: Connection, budget: CallerBudget) -> None:
@@ -69,7 +72,7 @@
         self._budget = budget
         self._account: Account | None = None
         self._head_bytes = 0
-        self._framing_bytes = 0
+        self.framing_bytes = 0
         self._request_bytes: collections.deque[int] = collections.deque()
         self._is_aborted = False
         self._is_ending = False
@@ -128,10 +131,6 @@
         """Count bytes of the body of the newest request."""
         self._request_bytes[-1] += size
 
-    def set_framing(self, size: int) -> None:
-        """Count bytes of which the parser may keep a field after a body."""
-        self._framing_bytes = size
-
     def end_oldest(self) -> None:
         """Forget the oldest request, as its response is complete."""
         self._request_bytes.popleft()
@@ -150,7 +149,7 @@
 
         If it has left too many unread before, it is cut off.
         """
-        unread_bytes = self._unread_bytes
+        unread_bytes = _unread_bytes(self._connection)
         if unread_bytes > MAX_UNREAD_BYTES:
             self._abort()
             return
@@ -214,7 +213,7 @@
 
     def _check_read(self, before_bytes: float) -> None:
         """Cut the caller off if it has read nothing since the last check."""
-        unread_bytes = self._unread_bytes
+        unread_bytes = _unread_bytes(self._connection)
         if unread_bytes >= before_bytes:
             self._abort()
         elif unread_bytes:
@@ -224,30 +223,34 @@
 
     @property
     def _content_bytes(self) -> int:
-        incoming_bytes = self._head_bytes + self._framing_bytes
-        return incoming_bytes + sum(self._request_bytes) + self._unread_bytes
+        incoming_bytes = self._head_bytes + self.framing_bytes
+        return (
+            incoming_bytes
+            + sum(self._request_bytes)
+            + _unread_bytes(self._connection)
+        )
 
     @property
     def _is_receiving(self) -> bool:
         return bool(self._head_bytes) or self._connection.is_receiving_body
 
-    @property
-    def _unread_bytes(self) -> int:
-        """Number of bytes that were written but not sent yet."""
-        size: int = self._connection.transport.get_write_buffer_size()
-        return size
-
     @property
     def _is_slow_reader(self) -> bool:
         """Whether most of what is held are responses that are not read."""
         if self._account is None:
             return False
-        if 2 * self._unread_bytes <= self._content_bytes:
+        if 2 * _unread_bytes(self._connection) <= self._content_bytes:
             return False
         is_paused: bool = self._connection.flow.write_paused
         return is_paused or self._account.stalled_s >= _SLOW_S
 
 
+def _unread_bytes(connection: Connection) -> int:
+    """Return the number of bytes that were written but not sent yet."""
+    size: int = connection.transport.get_write_buffer_size()
+    return size
+
+
 class EagerFlow:
     """Flow control of a response, which does not wait for a slow caller.
 
--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -24,10 +24,12 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
+    RawHeaders = list[tuple[bytes, bytes]]
+
 
 BAD_REQUEST = b'400 Bad Request'
 TIMEOUT = b'408 Request Timeout'
@@ -44,7 +46,7 @@
 _PARSED_BYTES = 16_384
 # Clients that send requests before the responses to earlier ones send a few.
 _MAX_UNANSWERED = 64
-# As much as the headers of a request may have by default.
+# As much as headers may have by default.
 _MAX_FRAMING_BYTES = 16_384
 # Random, so that callers that are refused at once do not come back at once.
 _RETRY_AFTER_S = (0.2, 0.5)
@@ -70,12 +72,18 @@
     """
 
     def __init__(
-        self, budget: CallerBudget | None = None, **kwargs: Any
+        self,
+        budget: CallerBudget | None = None,
+        most_framing_bytes: Callable[[], int] | None = None,
+        **kwargs: Any,
     ) -> None:
         """Create the connection.
 
         Args:
             budget: Budget of the process; None for no limit.
+            most_framing_bytes: Returns the limit on bytes of a chunked body that
+                are not its content, between two parts of the content and after
+                the last one; None for the default.
             **kwargs: Arguments that uvicorn passes to every connection.
         """
         super().__init__(**kwargs)
@@ -89,6 +97,7 @@
         self._is_reading_body = False
         # Bytes since the last part of a body, or since the headers before it.
         self._framing_bytes = 0
+        self._most_framing_bytes = most_framing_bytes or _default_framing_bytes
 
     def connection_made(self, transport: Any) -> None:
         """Open the account; refuse the connection if there is no room for it."""
@@ -138,21 +147,14 @@
             self._held.add_incomplete_head(len(data))
         if not self._is_reading_body:
             self._framing_bytes = 0
-        self._held.set_framing(self._framing_bytes)
-        most_bytes = self.most_framing_bytes()
+        self._held.framing_bytes = self._framing_bytes
+        most_bytes = self._most_framing_bytes()
         if self._framing_bytes > most_bytes:
             self.reject(
                 HEADERS_TOO_LARGE,
                 f'fields after a body may have {most_bytes} bytes at most',
             )
 
-    def most_framing_bytes(self) -> int:
-        """Return the limit on bytes of a chunked body that are not its content.
-
-        It applies between two parts of the content and after the last one.
-        """
-        return _MAX_FRAMING_BYTES
-
     def on_message_begin(self) -> None:
         """Begin to read the head of a request."""
         self._is_reading_headers = True
@@ -293,7 +295,7 @@
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
             head_end: int = exc.args[0]
-            head = self._head_without_upgrade()
+            head = _head_without_upgrade(self.parser, self.url, self.headers)
             self.parser = httptools.HttpRequestParser(self)
             self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
             return head + data[head_end:]
@@ -369,19 +371,6 @@
             _LONGEST_LINGER_MS / MS_PER_SECOND, self.transport.close
         )
 
-    def _head_without_upgrade(self) -> bytes:
-        """Return the head that was parsed last without its ``Upgrade`` fields."""
-        version = self.parser.get_http_version().encode()
-        lines = [
-            b'%s %s HTTP/%s' % (self.parser.get_method(), self.url, version)
-        ]
-        lines.extend(
-            b'%s: %s' % (name, field)
-            for name, field in self.headers
-            if name != _UPGRADE
-        )
-        return b'\r\n'.join((*lines, b'', b''))
-
 
 def request_target(scope: Mapping[str, Any]) -> bytes:
     """Return the target of a request, byte for byte as the caller sent it.
@@ -401,6 +390,24 @@
     return {_TARGET: {'target': target}}
 
 
+def _default_framing_bytes() -> int:
+    return _MAX_FRAMING_BYTES
+
+
+def _head_without_upgrade(
+    parser: httptools.HttpRequestParser,
+    target: bytes,
+    headers: RawHeaders,
+) -> bytes:
+    """Return the head that was parsed last without its ``Upgrade`` fields."""
+    version = parser.get_http_version().encode()
+    lines = [b'%s %s HTTP/%s' % (parser.get_method(), target, version)]
+    lines.extend(
+        b'%s: %s' % (name, field) for name, field in headers if name != _UPGRADE
+    )
+    return b'\r\n'.join((*lines, b'', b''))
+
+
 def _rejection_head(status: bytes, headers: bytes, body_bytes: int) -> bytes:
     return (
         b'HTTP/1.1 %s\r\n%scontent-length: %d\r\n'
