util: Return the memory of large blocks when they are freed

Callers saw an entry that grew with each crowd and gave nothing back: 37 MB while idle, 76 to 122 MB after crowds had gone, until one of them ended it.

Cause: the GNU C library raises the size from which a block is mapped by itself to that of the largest one freed so far. After one body of 4 MiB, all bodies come from the heap, where small objects between them keep the pages in use; so they do if the end of the heap has room for a growing body, which by default it has for 128 KiB.

--- a/src/acaciaramp/cmd/daemon.py
+++ b/src/acaciaramp/cmd/daemon.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from acaciaramp.util.heap import return_freed_memory
+
 Daemon = Callable[[anyio.Event], Awaitable[None]]
 
 
@@ -16,6 +18,7 @@
     Args:
         daemon: Called with the stop event; returns after it was set.
     """
+    return_freed_memory()
     anyio.run(_run, daemon, backend_options={'use_uvloop': True})
 
 
