forwarding: Free each request at its end, without the garbage collector

Callers saw an entry over its memory under whole large turns, though nearly all of them had been refused with ledger_full and none of their bytes were counted any more.

Cause: each request ended as a part of a reference cycle and stayed until the garbage collector came to it. The frame of _handle referred to the error whose traceback refers to the frame; the task that waits for the caller to disconnect, which is always cancelled, is itself part of a cycle in anyio, and its closure referred to the call. With the collector off and its debug output on, all requests that were routed were left, answered ones too.

--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -191,11 +191,13 @@
         # resets it, and the caller might not get the refusal.
         self.draining.check(call.deadline_ms)
         inbound.body = body
-        failure: CallError | EndpointError | None = None
+        failures: list[CallError | EndpointError] = []
         async with anyio.create_task_group() as tasks:
-            failure = await self._forward_while_connected(call, caller, tasks)
-        if failure is not None:
-            raise failure
+            await self._forward_while_connected(call, caller, tasks, failures)
+        if failures:
+            # A variable of this frame that referred to the error would keep both,
+            # and the body, until the garbage collector runs.
+            raise failures.pop()
 
     def _make_call(self, inbound: InboundRequest) -> Call:
         """Return the call of a request by the routing table in force.
@@ -238,31 +240,29 @@
             ) from None
 
     async def _forward_while_connected(
-        self, call: Call, caller: Caller, tasks: TaskGroup
-    ) -> CallError | EndpointError | None:
+        self,
+        call: Call,
+        caller: Caller,
+        tasks: TaskGroup,
+        failures: list[CallError | EndpointError],
+    ) -> None:
         """Forward the request; cancel it if the caller disconnects.
 
-        Returns:
-            The error that ended the request, None if it did not fail. It is
-            returned so that the task group does not wrap it in a group.
+        The error that ends the request is added to ``failures`` so that the task
+        group does not wrap it in a group.
         """
-
-        async def watch() -> None:
-            await caller.wait_disconnected()
-            if not caller.has_finished:
-                logger.info(
-                    'The caller has gone.', attempt=call.inbound.attempt
-                )
-            tasks.cancel_scope.cancel()
-
-        tasks.start_soon(watch)
+        tasks.start_soon(
+            _cancel_on_disconnect,
+            caller,
+            call.inbound.attempt,
+            tasks.cancel_scope,
+        )
         try:
             await self._forward(call, caller, tasks)
         except (CallError, EndpointError) as exc:
-            return exc
+            failures.append(exc)
         finally:
             tasks.cancel_scope.cancel()
-        return None
 
     async def _wait_for_table(self, inbound: InboundRequest) -> None:
         """Wait until an instance that has just started has a routing table.
@@ -443,6 +443,20 @@
         )
 
 
+async def _cancel_on_disconnect(
+    caller: Caller, attempt: str, scope: anyio.CancelScope
+) -> None:
+    """Cancel a scope when the caller disconnects.
+
+    A cancelled task is freed by the garbage collector only, after an arbitrary
+    time. This one refers to neither the request nor its body.
+    """
+    await caller.wait_disconnected()
+    if not caller.has_finished:
+        logger.info('The caller has gone.', attempt=attempt)
+    scope.cancel()
+
+
 def _time_limit_ms(inbound: InboundRequest, route: Route) -> int:
     """Return the time from the arrival of a request until its response is due.
 
