conversations: Commit large turns one after the other

Callers saw an entry over its memory under whole turns of 4 MiB on a route that retains them.

Cause: while a turn is committed, its content is held three times more than its body, which alone is counted: joined with the output, encoded as a command, and as the frame to the ledger. All turns that had run did this at once.

Turns up to 64 KiB never wait.

--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -20,6 +21,7 @@
 )
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.ids import ProgramId
+from acaciaramp.peering.framing import FrameRoom
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
@@ -41,6 +43,8 @@
 # A retained turn is committed before the end of its response is sent; this
 # limits the delay. The ledger elects a new leader within this time.
 _COMMIT_TIMEOUT_MS = 3_000
+# Longest wait of a large turn for those that are being committed.
+_ROOM_TIMEOUT_MS = 3_000
 # Longest wait for the ledger of a home region: a region that is cut off is not
 # awaited, and its ledger elects a new leader within about a second.
 _HOME_TIMEOUT_MS = 1_500
@@ -209,6 +213,7 @@
         clock: Clock,
         tasks: TaskGroup,
         homes: HomeLedgers | None = None,
+        commits: FrameRoom | None = None,
     ) -> None:
         """Create the manager.
 
@@ -218,12 +223,15 @@
             clock: Source of time.
             tasks: Task group in which turns are settled in the background.
             homes: Ledgers of single regions; None if there are none.
+            commits: Room for the contents of large turns that are being
+                committed; None for the default.
         """
         self._ledger = ledger
         self._cache = cache
         self._clock = clock
         self._tasks = tasks
         self._homes = homes
+        self._commits = commits or FrameRoom()
         self._pending_settlements = 0
 
     @property
@@ -313,38 +321,31 @@
     async def commit(self, turn: OpenedTurn, result: TurnResult) -> None:
         """Settle a complete turn and store it for later turns.
 
-        The turn is committed to the ledger when this returns.
+        The turn is committed to the ledger when this returns. Its content is held
+        several times meanwhile, so that large turns wait for each other.
 
         Args:
             turn: The turn.
             result: What the endpoint generated.
 
         Raises:
-            CallError: The ledger did not reply in time, or the turn that this
-                one continues has expired.
+            CallError: There was no room in time, the ledger did not reply in
+                time, or the turn that this one continues has expired.
         """
-        if turn.home is not None:
-            await self._commit_bound(turn, turn.home, result)
-            return
-        plan = turn.plan
-        content = plan.content + result.output
-        now_ms = self._clock.wall_ms()
-        kept = RetainedTurn(
-            previous=plan.previous,
-            content=content,
-            until_ms=now_ms + plan.retention_ms,
-        )
-        req = CloseTurn(
-            turn=plan.key,
-            program=plan.program,
-            tokens=result.tokens,
-            kept=kept,
-            at_ms=now_ms,
-            endpoint=result.endpoint,
-        )
-        reply = await self._ledger.close_turn(req, _COMMIT_TIMEOUT_MS)
-        _check_stored(plan, reply)
-        self._cache.put(plan.key, turn.chain + content)
+        size = len(turn.chain) + len(turn.plan.content) + len(result.output)
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                with self._clock.timeout(_ROOM_TIMEOUT_MS):
+                    await stack.enter_async_context(self._commits.taken(size))
+            except TimeoutError:
+                raise CallError(
+                    ErrorCode.OVERLOADED,
+                    'other large turns are being committed',
+                ) from None
+            if turn.home is None:
+                await self._commit_unbound(turn, result)
+            else:
+                await self._commit_bound(turn, turn.home, result)
 
     def settle(self, plan: TurnPlan, tokens: int, endpoint: str = '') -> None:
         """Settle a turn in the background; nothing happens without a budget.
@@ -447,6 +448,34 @@
                 return region, reply.chain if cached is None else cached
         raise _refusal(plan, reply)
 
+    async def _commit_unbound(
+        self, turn: OpenedTurn, result: TurnResult
+    ) -> None:
+        """Store a complete turn in the ledger of all regions.
+
+        Raises:
+            CallError: As ``commit``.
+        """
+        plan = turn.plan
+        content = plan.content + result.output
+        now_ms = self._clock.wall_ms()
+        kept = RetainedTurn(
+            previous=plan.previous,
+            content=content,
+            until_ms=now_ms + plan.retention_ms,
+        )
+        req = CloseTurn(
+            turn=plan.key,
+            program=plan.program,
+            tokens=result.tokens,
+            kept=kept,
+            at_ms=now_ms,
+            endpoint=result.endpoint,
+        )
+        reply = await self._ledger.close_turn(req, _COMMIT_TIMEOUT_MS)
+        _check_stored(plan, reply)
+        self._cache.put(plan.key, turn.chain + content)
+
     async def _commit_bound(
         self, turn: OpenedTurn, home: BoundTurn, result: TurnResult
     ) -> None:
--- a/src/acaciaramp/roles/entry_parts.py
+++ b/src/acaciaramp/roles/entry_parts.py
@@ -10,6 +10,7 @@
 from acaciaramp.conversations.turns import TurnManager
 from acaciaramp.forwarding.load_exchange import LoadExchange
 from acaciaramp.forwarding.selector import EndpointSelector
+from acaciaramp.peering.framing import FrameRoom
 from acaciaramp.scheduling.load_board import (
     USUAL_DURATION_PERCENT,
     LoadBoard,
@@ -29,6 +30,9 @@
 # Share of the time in which a leaving endpoint must stop being sent requests; the
 # rest passes until this instance learns that it is leaving.
 _LEAVING_GRACE_SHARE = 0.3
+# Part of the bytes for callers that the contents of large turns take, each of which
+# is held several times, while they are being committed.
+_COMMITS_FRACTION = 0.125
 
 
 def make_selector(
@@ -110,4 +114,5 @@
             cfg.region,
             cfg.regions.values(),
         ),
+        FrameRoom(int(_COMMITS_FRACTION * context.callers.limits.most_bytes)),
     )
