peering: Encode frames when they are sent, and with their length

Cause: a request to a peer was encoded as a frame before it waited for its turn on the link, and was copied once more to put the length before it. With content of 4 MiB, 4 to 8 MiB were held for each turn beside the counted body.

FrameStream.send takes a frame and encodes it after its length while it has the lock. The bytes on the wire are the same; test_link sends its garbage with a length of its own.

--- a/src/acaciaramp/peering/framing.py
+++ b/src/acaciaramp/peering/framing.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import contextlib
-import struct
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 import anyio
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from acaciaramp.errors import AcaciarampError
+from acaciaramp.peering.messages import (
+    LENGTH_BYTES,
+    decode_length,
+    encode_prefixed,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from anyio.abc import ByteStream
 
+    from acaciaramp.peering.messages import Frame
+
 MAX_FRAME_BYTES = 25_165_824
 # Room for the large frames that are being received, without settings.
 DEFAULT_ROOM_BYTES = 2 * MAX_FRAME_BYTES
@@ -24,7 +30,6 @@
 # Frames up to this size never wait for room, so that heartbeats and requests
 # arrive while large frames are being received.
 _SMALL_FRAME_BYTES = 65_536
-_LENGTH_PREFIX = struct.Struct('>I')
 
 CONNECTION_ERRORS = (
     TimeoutError,
@@ -112,10 +117,15 @@
                 f'{self._invalid_frames} frames cannot be decoded'
             )
 
-    async def send(self, frame: bytes) -> None:
-        """Send a frame; concurrent calls are serialized."""
+    async def send(self, frame: Frame) -> None:
+        """Send a frame; concurrent calls are serialized.
+
+        It is encoded when it is its turn, so that frames that wait for others
+        are held once.
+        """
         async with self._lock:
-            await self._stream.send(_LENGTH_PREFIX.pack(len(frame)) + frame)
+            # Streams take any object with a buffer.
+            await self._stream.send(cast('bytes', encode_prefixed(frame)))
 
     async def receive(self) -> bytes:
         """Return the next frame.
@@ -124,8 +134,8 @@
             FrameTooLargeError: The frame exceeds the limit. It is not skipped,
                 so the stream cannot be read any further.
         """
-        prefix = await self._buffered.receive_exactly(_LENGTH_PREFIX.size)
-        length: int = _LENGTH_PREFIX.unpack(prefix)[0]
+        prefix = await self._buffered.receive_exactly(LENGTH_BYTES)
+        length = decode_length(prefix)
         if length > MAX_FRAME_BYTES:
             raise FrameTooLargeError(
                 f'frame of {length} bytes exceeds the limit'
--- a/src/acaciaramp/peering/link.py
+++ b/src/acaciaramp/peering/link.py
@@ -22,7 +22,6 @@
     ReplyFrame,
     RequestFrame,
     decode,
-    encode,
 )
 from acaciaramp.util.logs import get_logger
 from acaciaramp.verdicts import Verdict
@@ -268,7 +267,7 @@
         self._pending[number] = pending
         try:
             pending.verdict = Verdict.MAY_HAVE_RUN
-            await self._frames.send(encode(frame))
+            await self._frames.send(frame)
             return await pending.wait()
         finally:
             self._pending.pop(number)
@@ -304,4 +303,4 @@
         return self._reply
 
 
-_HEARTBEAT = encode(RequestFrame(PROTOCOL_VERSION, 0, Channel.HEARTBEAT))
+_HEARTBEAT = RequestFrame(PROTOCOL_VERSION, 0, Channel.HEARTBEAT)
--- a/src/acaciaramp/peering/messages.py
+++ b/src/acaciaramp/peering/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import struct
 
 import msgspec
 
@@ -64,6 +65,10 @@
 
 Frame = RequestFrame | ReplyFrame
 
+_LENGTH_PREFIX = struct.Struct('>I')
+LENGTH_BYTES = _LENGTH_PREFIX.size
+# More than a frame has beside its body, unless it carries a refusal.
+_ENVELOPE_BYTES = 64
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(RequestFrame | ReplyFrame)
 
@@ -73,6 +78,20 @@
     return _encoder.encode(frame)
 
 
+def encode_prefixed(frame: Frame) -> bytearray:
+    """Encode a frame after its length, without a copy of a large body."""
+    wire = bytearray(_LENGTH_PREFIX.size + len(frame.body) + _ENVELOPE_BYTES)
+    _encoder.encode_into(frame, wire, _LENGTH_PREFIX.size)
+    _LENGTH_PREFIX.pack_into(wire, 0, len(wire) - _LENGTH_PREFIX.size)
+    return wire
+
+
+def decode_length(prefix: bytes) -> int:
+    """Return the length of the frame that follows its prefix."""
+    length: int = _LENGTH_PREFIX.unpack(prefix)[0]
+    return length
+
+
 def decode(wire: bytes) -> Frame:
     """Decode a frame from MessagePack.
 
--- a/src/acaciaramp/peering/server.py
+++ b/src/acaciaramp/peering/server.py
@@ -28,7 +28,6 @@
     ReplyFrame,
     RequestFrame,
     decode,
-    encode,
 )
 from acaciaramp.util.gate import ConnectionGate
 from acaciaramp.util.logs import get_logger
@@ -258,7 +257,7 @@
         ).refusal
     reply = ReplyFrame(PROTOCOL_VERSION, frame.number, body, refusal)
     try:
-        await frames.send(encode(reply))
+        await frames.send(reply)
     except CONNECTION_ERRORS:
         logger.info(
             'A peer disconnected before its reply was sent; dropping it.'
--- a/tests/peering/test_link.py
+++ b/tests/peering/test_link.py
@@ -166,9 +166,9 @@
                 metrics,
             )
             async with await anyio.connect_tcp(*address) as raw:
-                frames = FrameStream(raw)
-                await frames.send(b'\xff garbage')
-                await frames.send(encode(ReplyFrame(99, 1)))
+                garbage = b'\xff garbage'
+                await raw.send(len(garbage).to_bytes(4) + garbage)
+                await FrameStream(raw).send(ReplyFrame(99, 1))
                 await raw.send(b'\xff\xff\xff\xff too long')
                 with pytest.raises(anyio.EndOfStream):
                     await raw.receive()
