http: Free each connection when it is closed

Callers saw an entry that kept 10 MB and more after a crowd of 400 had gone, and grew with the next one.

Cause: a connection and what counts its bytes referred to each other, and so did a request and its flow control. A closed connection, with the objects for its requests, stayed until the garbage collector came to it, which it does rarely for what has lived for a while. If the connection was reset, the timer for idle connections kept it as well.

--- a/src/acaciaramp/util/held_bytes.py
+++ b/src/acaciaramp/util/held_bytes.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import math
+import weakref
 from typing import TYPE_CHECKING, Any, Protocol
 
 from acaciaramp.util.caller_budget import CloseReason
@@ -265,7 +266,8 @@
         self.pause_reading = flow.pause_reading
         self.resume_reading = flow.resume_reading
         self._flow = flow
-        self._cycle = cycle
+        # The request refers to its flow control.
+        self._cycle = weakref.proxy(cycle)
 
     @property
     def write_paused(self) -> bool:
--- a/src/acaciaramp/util/http_protocol.py
+++ b/src/acaciaramp/util/http_protocol.py
@@ -8,6 +8,7 @@
 
 import collections
 import random
+import weakref
 from typing import TYPE_CHECKING, Any
 
 import httptools
@@ -87,7 +88,10 @@
             **kwargs: Arguments that uvicorn passes to every connection.
         """
         super().__init__(**kwargs)
-        self._held = HeldBytes(self, budget or CallerBudget.unlimited())
+        # Without a reference cycle, a closed connection is freed at once.
+        self._held = HeldBytes(
+            weakref.proxy(self), budget or CallerBudget.unlimited()
+        )
         self._unfinished: collections.deque[RequestResponseCycle] = (
             collections.deque()
         )
@@ -118,6 +122,11 @@
             self._linger_timer.cancel()
         self._held.close()
         super().connection_lost(exc)
+        # Requests and timers refer to the connection.
+        self._unset_keepalive_if_required()
+        self._unfinished.clear()
+        self.pipeline.clear()
+        self.cycle = None  # type: ignore[assignment]
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived; reject what is not valid HTTP.
--- a/tests/util/test_http_protocol.py
+++ b/tests/util/test_http_protocol.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import pytest
 
+from acaciaramp.util.http_protocol import RequestProtocol
 from tests.util.connections import (
     PROTOCOLS,
     TIMEOUT_S,
@@ -189,3 +192,54 @@
 
     anyio.run(scenario)
     assert names == [[b'transfer-encoding']]
+
+
+def connections_in_memory() -> list[Any]:
+    """Return the server's connections that are not freed."""
+    return [
+        item
+        for item in gc.get_objects()
+        if isinstance(item, RequestProtocol)
+        and not isinstance(item, weakref.ProxyType)
+    ]
+
+
+# Guards against closed connections that stay in memory until the garbage collector
+# runs, with the objects for their requests.
+@pytest.mark.parametrize('protocol', PROTOCOLS)
+@pytest.mark.parametrize(
+    'wire',
+    [
+        b'',
+        b'POST /a HT',
+        b'POST /a HTTP/1.1\r\ncontent-length: 4\r\n\r\nbody',
+        b'POST /a HTTP/1.1\r\ncontent-length: 9\r\n\r\nbody',
+        b'no request\r\n\r\n',
+        3 * b'GET /a HTTP/1.1\r\n\r\n',
+    ],
+    ids=['idle', 'head', 'answered', 'unfinished', 'rejected', 'pipelined'],
+)
+def test_a_closed_connection_is_freed_at_once(
+    protocol: Any, wire: bytes
+) -> None:
+    async def scenario() -> None:
+        async with connected(RecordingApp(), protocol) as kept:
+            address = kept.extra(anyio.abc.SocketAttribute.remote_address)
+            await kept.send(b'GET / HTTP/1.1\r\n\r\n')
+            await kept.receive()
+            gc.collect()
+            gc.disable()
+            try:
+                async with await anyio.connect_tcp(*address) as stream:
+                    await stream.send(wire)
+                    with anyio.fail_after(TIMEOUT_S):
+                        while len(connections_in_memory()) < 2:
+                            await anyio.sleep(0.001)
+                    await anyio.sleep(0.02)
+                with anyio.fail_after(TIMEOUT_S):
+                    while len(connections_in_memory()) > 1:
+                        await anyio.sleep(0.001)
+            finally:
+                gc.enable()
+
+    anyio.run(scenario, backend_options={'use_uvloop': True})
