util: Lower the budget for callers while resident memory is scarce

Callers saw an entry over its memory though it was within its budget: the budget is a quarter of the memory and supposes that an idle process takes up to half, and that what is held takes no more than twice its bytes.

The resident memory is read as holders grow. A change is logged and counted (memory.scarce).

--- a/src/acaciaramp/metrics/closures.py
+++ b/src/acaciaramp/metrics/closures.py
@@ -1,12 +1,18 @@
-"""Counts and logs connections of callers that are closed for their memory."""
+"""Counts and logs scarce memory, and callers' connections closed for it."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from acaciaramp.metrics.names import Counter
-from acaciaramp.util.caller_budget import BudgetLimits, CallerBudget
+from acaciaramp.util.caller_budget import (
+    BYTES_PER_MB,
+    DEFAULT_MEMORY_MB,
+    BudgetLimits,
+    CallerBudget,
+)
 from acaciaramp.util.logs import get_logger
+from acaciaramp.util.resident_memory import ResidentMemory
 
 if TYPE_CHECKING:
     from acaciaramp.clock import Clock
@@ -68,9 +74,31 @@
         memory_mb: Memory of the process; None for the default.
         max_descriptors: Descriptors of the process; None for the default.
         clock: Clock for the log.
-        metrics: Counts closures.
+        metrics: Counts closures, and how often memory became scarce.
     """
+
+    def record_change(is_scarce: bool, resident_bytes: int) -> None:
+        _record_scarcity(metrics, resident_bytes, is_scarce=is_scarce)
+
+    memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
     return CallerBudget(
         BudgetLimits.of_machine(memory_mb, max_descriptors),
         ClosureLog(clock, metrics).record,
+        memory=ResidentMemory(memory_bytes, record_change),
+    )
+
+
+def _record_scarcity(
+    metrics: Metrics, resident_bytes: int, *, is_scarce: bool
+) -> None:
+    if is_scarce:
+        metrics.count(Counter.MEMORY_SCARCE)
+        logger.warning(
+            'The resident memory is near its limit; less is held for callers.',
+            resident_bytes=resident_bytes,
+        )
+        return
+    logger.info(
+        'The resident memory is below its limit again.',
+        resident_bytes=resident_bytes,
     )
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -42,6 +42,8 @@
             ``LevelMove``.
         CALLER_CLOSED: Connections of callers that were closed, or refused a
             request, to bound memory and descriptors, by ``CloseReason``.
+        MEMORY_SCARCE: Times that the resident memory came near its limit, so
+            that less is held for callers.
         LOADS_SENT: Messages with news of endpoints' loads that peers took.
         LOADS_FAILED: Such messages that did not arrive or were refused.
         LOADS_RECEIVED: Such messages from peers.
@@ -74,6 +76,7 @@
     TUNNEL_REQUESTED = 'tunnel.requested'
     LEVEL_CHANGED = 'admission.level'
     CALLER_CLOSED = 'caller.closed'
+    MEMORY_SCARCE = 'memory.scarce'
     LOADS_SENT = 'loads.sent'
     LOADS_FAILED = 'loads.failed'
     LOADS_RECEIVED = 'loads.received'
--- a/src/acaciaramp/util/caller_budget.py
+++ b/src/acaciaramp/util/caller_budget.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from acaciaramp.util.resident_memory import ResidentMemory
+
     RecordClosure = Callable[['CloseReason', int], None]
 
 # Memory and descriptors of the smallest entry machines, for settings that name
@@ -27,13 +29,24 @@
 _LARGE_FRACTION = 0.75
 # A config of 16 MiB from an operator fits into the share with the default.
 _CONNECTION_FRACTION = 0.625
+# What is left for all callers if the process is short of memory: as much as a body
+# of the largest size needs.
+_LEAST_FRACTION = 0.375
 # The rest is kept for endpoints, peers, files and connections that wait to be
 # accepted.
 _CONNECTIONS_FRACTION = 0.6
 _BACKLOG_FRACTION = 0.2
 _MAX_BACKLOG = 2_048
-# 64 KiB beside the objects for a connection and the request that it serves.
-_SMALL_BYTES = 86_016
+# Memory of the objects for a connection, and for the request of it that is being
+# served, beside the bytes that were received, in CPython 3.11.
+CONNECTION_BYTES = 8_192
+SERVED_REQUEST_BYTES = 12_288
+_SMALL_CONTENT_BYTES = 65_536
+_SMALL_BYTES = _SMALL_CONTENT_BYTES + CONNECTION_BYTES + SERVED_REQUEST_BYTES
+# The resident memory is read each time that holders have grown by this.
+_READING_BYTES = 262_144
+# What is evicted is freed by its tasks within this time.
+_FREEING_S = 0.1
 
 
 class CloseReason(enum.Enum):
@@ -188,6 +201,10 @@
     and the time since its last progress: a body that stalls just short of its
     end goes before one that is arriving. Holders of up to 64 KiB beside their
     objects are evicted only if the large ones are within their part.
+
+    What is held takes more memory than its bytes. If the process is short of
+    resident memory, the limit for all is lowered to what is held less the
+    shortage, but not below 3/8 of it.
     """
 
     def __init__(
@@ -195,6 +212,7 @@
         limits: BudgetLimits,
         record_closure: RecordClosure,
         now_s: Callable[[], float] = time.monotonic,
+        memory: ResidentMemory | None = None,
     ) -> None:
         """Create the budget without accounts.
 
@@ -203,12 +221,18 @@
             record_closure: Called with the reason and the bytes of each holder
                 that is evicted or refused.
             now_s: Monotonic clock, seconds.
+            memory: Resident memory of the process; None for no limit on it.
         """
         self.limits = limits
         self.now_s = now_s
         self.record_closure = record_closure
         self.total_bytes = 0
         self._large_bytes = 0
+        self._memory = memory
+        self._most_bytes = limits.most_bytes
+        self._unread_growth_bytes = 0
+        self._freeing_bytes = 0
+        self._evicted_s = -math.inf
         # In order of their last progress.
         self._accounts: dict[Holder, Account] = {}
 
@@ -237,11 +261,15 @@
         """Take over what a holder holds and evict holders while needed."""
         before_bytes = account.held_bytes
         self._set(account, holder.held_bytes())
-        if account.held_bytes <= before_bytes:
+        growth_bytes = account.held_bytes - before_bytes
+        if growth_bytes <= 0:
             return
+        self._unread_growth_bytes += growth_bytes
         most_bytes = self.limits.most_connection_bytes
         if account.held_bytes > most_bytes and holder.is_evictable():
             self._evict(holder, account)
+        if self._is_reading_due():
+            self._read_memory()
         if self._is_exceeded():
             self._refresh()
         has_victim = True
@@ -255,10 +283,29 @@
 
     def _is_exceeded(self) -> bool:
         return (
-            self.total_bytes > self.limits.most_bytes
+            self.total_bytes > self._most_bytes
             or self._large_bytes > self.limits.most_large_bytes
         )
 
+    def _is_reading_due(self) -> bool:
+        is_lowered = self._most_bytes < self.limits.most_bytes
+        return self._unread_growth_bytes >= _READING_BYTES or (
+            is_lowered and self._is_exceeded()
+        )
+
+    def _read_memory(self) -> None:
+        """Set the limit for all by the resident memory of the process."""
+        self._unread_growth_bytes = 0
+        if self._memory is None:
+            return
+        if self.now_s() > self._evicted_s + _FREEING_S:
+            self._freeing_bytes = 0
+        room_bytes = self._memory.room_bytes() + self._freeing_bytes
+        usual_bytes = self.limits.most_bytes
+        least_bytes = usual_bytes * _LEAST_FRACTION
+        usable_bytes = max(least_bytes, self.total_bytes + room_bytes)
+        self._most_bytes = min(usual_bytes, usable_bytes)
+
     def _set(self, account: Account, held_bytes: int) -> None:
         self.total_bytes += held_bytes - account.held_bytes
         self._large_bytes += _large(held_bytes) - _large(account.held_bytes)
@@ -304,6 +351,8 @@
         held_bytes = account.held_bytes
         self.record_closure(holder.evict(), held_bytes)
         self._set(account, holder.held_bytes())
+        self._freeing_bytes += held_bytes - account.held_bytes
+        self._evicted_s = self.now_s()
 
 
 def _large(held_bytes: int) -> int:
--- a/src/acaciaramp/util/heap.py
+++ b/src/acaciaramp/util/heap.py
@@ -26,7 +26,7 @@
     Returns:
         Whether the C library has these settings.
     """
-    mallopt = getattr(ctypes.CDLL(None), 'mallopt', None)
+    mallopt = getattr(_library(), 'mallopt', None)
     if mallopt is None:
         return False
     settings = {
@@ -35,3 +35,14 @@
         _M_TRIM_THRESHOLD: _KEPT_BYTES,
     }
     return all(mallopt(name, size) for name, size in settings.items())
+
+
+def release_free_memory() -> None:
+    """Return the free pages of the heap to the system."""
+    malloc_trim = getattr(_library(), 'malloc_trim', None)
+    if malloc_trim is not None:
+        malloc_trim(0)
+
+
+def _library() -> ctypes.CDLL:
+    return ctypes.CDLL(None)
--- a/src/acaciaramp/util/held_bytes.py
+++ b/src/acaciaramp/util/held_bytes.py
@@ -8,17 +8,18 @@
 import weakref
 from typing import TYPE_CHECKING, Any, Protocol
 
-from acaciaramp.util.caller_budget import CloseReason
+from acaciaramp.util.caller_budget import (
+    CONNECTION_BYTES,
+    SERVED_REQUEST_BYTES,
+    CloseReason,
+)
 
 if TYPE_CHECKING:
     from acaciaramp.util.caller_budget import Account, CallerBudget
 
 UNAVAILABLE = b'503 Service Unavailable'
-# Memory of the objects for a connection, for the request of it that is being
-# served, for each request and for each of its headers, beside the bytes that were
-# received, in CPython 3.11.
-_CONNECTION_BYTES = 8_192
-_SERVED_REQUEST_BYTES = 12_288
+# Memory of the objects for a request that is not being served, and for each of its
+# headers, beside the bytes that were received, in CPython 3.11.
 _REQUEST_BYTES = 2_560
 _HEADER_BYTES = 160
 # A caller that reads more slowly than its response arrives is cut off beyond this:
@@ -168,8 +169,8 @@
         """Return the number of bytes that are held for the caller."""
         if self._is_aborted:
             return 0
-        served_bytes = _SERVED_REQUEST_BYTES if self._request_bytes else 0
-        return _CONNECTION_BYTES + served_bytes + self._content_bytes
+        served_bytes = SERVED_REQUEST_BYTES if self._request_bytes else 0
+        return CONNECTION_BYTES + served_bytes + self._content_bytes
 
     def is_ending(self) -> bool:
         """Return whether the last response was written."""
--- a/tests/memory/test_open_bodies.py
+++ b/tests/memory/test_open_bodies.py
@@ -24,12 +24,17 @@
 # Descriptors of the smallest machines.
 MANY_DESCRIPTORS = 4_100
 SMALLEST_MACHINE_MB = 88
+# An idle entry takes 40 MB.
+SHORT_MEMORY_MB = 52
 CROWDS = {
     'large': 40 * [callers.short(BODY_BYTES)],
     'large-chunked': 24 * [callers.chunked(3_932_160, 65_536)],
     'small': 400 * [callers.short(SMALL_BODY_BYTES)],
     'small-chunked': 400
     * [callers.chunked(SMALL_BODY_BYTES, SMALL_CHUNK_BYTES)],
+    'few-small': 200 * [callers.short(SMALL_BODY_BYTES)],
+    'few-small-chunked': 200
+    * [callers.chunked(SMALL_BODY_BYTES, SMALL_CHUNK_BYTES)],
     'expecting': 300
     * [callers.short(SMALL_BODY_BYTES, 'Expect: 100-continue')],
 }
@@ -52,7 +57,7 @@
 
 
 # Guards against bodies that take more memory than the bytes that are counted.
-@pytest.mark.parametrize('name', CROWDS)
+@pytest.mark.parametrize('name', SEQUENCE)
 def test_entry_holds_no_more_than_its_share_of_a_crowd(
     fleet: Fleet, name: str
 ) -> None:
@@ -68,6 +73,18 @@
         send_all(process, Watch(process, GROWTH_BYTES), 2 * SEQUENCE)
 
 
+# Guards against a budget that is kept though the idle process takes most of the
+# memory.
+@pytest.mark.parametrize('name', ['few-small', 'few-small-chunked'])
+def test_entry_stays_within_its_memory_though_it_is_short_of_it(
+    fleet: Fleet, name: str
+) -> None:
+    settings = {**SETTINGS, 'memory_mb': SHORT_MEMORY_MB}
+    with fleet.entry(**settings) as process:
+        send_all(process, Watch(process, GROWTH_BYTES), [name])
+        assert process.peak_bytes < SHORT_MEMORY_MB * MB
+
+
 # Guards against objects of connections and requests that are not counted.
 def test_entry_holds_no_more_than_its_share_of_tiny_open_bodies(
     fleet: Fleet,
@@ -80,7 +97,7 @@
             watch.check(MANY_DESCRIPTORS)
 
 
-# Guards against a budget that is kept by a process whose memory is used up.
+# Guards against bounds that hold for one crowd, but not for many of all kinds.
 def test_entry_stays_within_the_memory_of_the_smallest_machine(
     fleet: Fleet,
 ) -> None:
--- a/tests/util/test_caller_budget.py
+++ b/tests/util/test_caller_budget.py
@@ -7,6 +7,7 @@
     CallerBudget,
     CloseReason,
 )
+from acaciaramp.util.resident_memory import ResidentMemory
 
 KIB = 1_024
 LIMITS = BudgetLimits(
@@ -173,3 +174,61 @@
     assert limits.most_connection_bytes > 17_000_000
     assert limits.most_large_bytes > 17_000_000
     assert limits.most_connections == 2_460
+
+
+def with_room(room_bytes: list[float]) -> Fixture:
+    """Return a budget whose process has some room in its memory."""
+    fixture = Fixture()
+    memory = ResidentMemory(
+        0,
+        lambda *_: None,
+        read_bytes=lambda: -int(room_bytes[0]),
+        release=lambda: None,
+    )
+    fixture.budget = CallerBudget(
+        LIMITS._replace(most_connections=10),
+        lambda *closure: fixture.closures.append(closure),
+        lambda: fixture.now_s,
+        memory,
+    )
+    return fixture
+
+
+# Guards against a budget that is kept though what is held takes more memory than
+# its bytes.
+def test_less_is_held_while_the_process_is_short_of_memory() -> None:
+    fixture = with_room([-50 * KIB])
+    stalled = fixture.hold(60 * KIB)
+    fixture.now_s = 1
+    arriving = fixture.hold(200 * KIB)
+    assert (stalled.evictions, arriving.evictions) == (1, 0)
+
+
+def test_a_body_has_room_however_short_of_memory_the_process_is() -> None:
+    fixture = with_room([-1_000 * KIB])
+    body = fixture.hold(140 * KIB)
+    fixture.now_s = 1
+    other = fixture.hold(140 * KIB)
+    assert (body.evictions, other.evictions) == (1, 0)
+
+
+def test_the_limit_is_the_usual_one_again_when_there_is_memory() -> None:
+    room_bytes: list[float] = [-1_000 * KIB]
+    fixture = with_room(room_bytes)
+    fixture.hold(140 * KIB)
+    fixture.now_s = 1
+    second = fixture.hold(140 * KIB)
+    room_bytes[0] = 1_000 * KIB
+    fixture.now_s = 2
+    third = fixture.hold(140 * KIB)
+    assert (second.evictions, third.evictions) == (0, 0)
+
+
+# Guards against bytes that are evicted twice: they are freed a little later.
+def test_what_was_just_evicted_is_not_missing_again() -> None:
+    fixture = with_room([-100 * KIB])
+    holders = [fixture.hold(60 * KIB) for _ in range(6)]
+    evicted = sum(holder.evictions for holder in holders)
+    assert evicted == 2
+    fixture.hold(1)
+    assert sum(holder.evictions for holder in holders) == evicted
