application: Limit the headers of operators' requests

By reading and by a test: the operators' port of acaciaramp serve had no limit on headers but the share of a connection, 20 MB.

The port has the limits on headers of the settings now, as callers have.

--- a/src/acaciaramp/application.py
+++ b/src/acaciaramp/application.py
@@ -38,7 +38,7 @@
 from acaciaramp.peering.messages import Channel
 from acaciaramp.peering.server import Address, serve_peers
 from acaciaramp.programs.session_releaser import SessionReleaser
-from acaciaramp.util.http_protocol import RequestProtocol
+from acaciaramp.util.header_limits import HeaderLimitProtocol, HeaderLimits
 from acaciaramp.util.logs import get_logger
 from acaciaramp.util.webserver import bind_socket, running_server, serve_forever
 
@@ -258,7 +258,11 @@
             return
         app = make_operator_app(control, self._settings.operator_key)
         sock = bind_socket(listen.host, listen.port)
-        protocol = functools.partial(RequestProtocol, self._callers)
+        limits = self._settings.limits
+        header_limits = HeaderLimits(limits.header_bytes, limits.header_ms)
+        protocol = functools.partial(
+            HeaderLimitProtocol, lambda: header_limits, budget=self._callers
+        )
         tasks.start_soon(serve_forever, app, sock, protocol)
 
     async def _wait_for_document(
--- a/tests/memory/callers.py
+++ b/tests/memory/callers.py
@@ -118,6 +118,11 @@
     return sent_head + body + start + size * b'x'
 
 
+def endless_head(size: int) -> bytes:
+    """Return a head whose last field has no end."""
+    return head()[:-2] + b'x-field: ' + size * b'x'
+
+
 def turns(program: str, count: int, size: int, target: str) -> bytes:
     """Return turns of a program, each with a whole body, one after the other."""
     fields = (
--- a/tests/memory/processes.py
+++ b/tests/memory/processes.py
@@ -15,6 +15,7 @@
 import time
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from acaciaramp.documents.registry import key_hash
 from acaciaramp.util.webserver import bind_socket
 from tests import builders as build
 
@@ -60,12 +61,14 @@
         address: Its listener for callers or operators.
         request: Sends one ordinary request and returns its response.
         readiness: Listener of an entry for the load balancer.
+        operators: Listener of ``acaciaramp serve`` for operators.
     """
 
     pid: int
     address: Address
     request: Callable[[], Response]
     readiness: Address | None = None
+    operators: Address | None = None
 
     @property
     def peak_bytes(self) -> int:
@@ -269,6 +272,7 @@
         """
         host = build.loopback_host()
         address = Address(host, 8370)
+        operators = Address(host, 8372)
         list_host, list_port = self._list_address
         tree = build.document_tree(
             services={'atelier-1': f'http://{list_host}:{list_port}'}
@@ -281,6 +285,8 @@
                 'availability_zone': 'medina-nord',
                 'callers': {'host': host, 'port': address.port},
                 'inner': {'host': host, 'port': 8371},
+                'operators': {'host': host, 'port': operators.port},
+                'operator_key': key_hash(build.OPERATOR_KEY),
                 'links': {'plain': True},
                 'document': str(document),
                 **settings,
@@ -299,6 +305,7 @@
                     b'ordinary',
                     {'Authorization': f'Bearer {build.KEY}'},
                 ),
+                operators=operators,
             )
 
     @contextlib.contextmanager
--- a/tests/memory/test_callers.py
+++ b/tests/memory/test_callers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -14,6 +15,7 @@
 from tests import builders as build
 from tests.memory import callers
 from tests.memory.processes import (
+    GUARD_S,
     Address,
     replace_config,
     send_request,
@@ -166,3 +168,17 @@
         watch = Watch(process, SERVE_GROWTH_BYTES)
         with callers.sending(process.address, wires):
             watch.check(max_descriptors=1_000)
+
+
+# Guards against a head that is collected up to the share of a connection, whose
+# parser copies it with each part that arrives.
+def test_serve_rejects_heads_without_end_from_operators(fleet: Fleet) -> None:
+    wires = 10 * [callers.endless_head(8_000_000)]
+    with fleet.serve() as process:
+        assert process.operators is not None
+        watch = Watch(process, SERVE_GROWTH_BYTES)
+        with socket.create_connection(process.operators, GUARD_S) as sock:
+            sock.sendall(callers.endless_head(100_000))
+            assert sock.recv(CHUNK).startswith(b'HTTP/1.1 431 ')
+        with callers.sending(process.operators, wires):
+            watch.check(max_descriptors=1_000)
