util: Read accepted connections only while their handlers receive

Cause: anyio pauses reading on connections that it opens, but not on those that it accepts, until a call of receive has waited once. What arrives before that, and goes on arriving, is kept without a bound while the frame waits for room. Whether it happens depends on whether the first bytes arrive before the first receive.

ConnectionGate, through which peers, tunnels and metrics are accepted, pauses reading first.

--- a/src/acaciaramp/util/gate.py
+++ b/src/acaciaramp/util/gate.py
@@ -51,6 +51,7 @@
             return
         self._is_full = False
         self.open_connections += 1
+        _pause_reading(stream)
         try:
             await handle(stream)
         finally:
@@ -67,3 +68,15 @@
                 open_connections=self.open_connections,
                 refused=self.refused,
             )
+
+
+def _pause_reading(stream: ByteStream) -> None:
+    """Let a connection be read only while its handler receives.
+
+    anyio reads from a connection that it has accepted as fast as the peer sends,
+    and keeps all of it, until a call of ``receive`` has waited once.
+    """
+    # There is no public access to the transport.
+    transport = getattr(stream, '_transport', None)
+    if transport is not None:
+        transport.pause_reading()
