--- a/tests/forwarding/test_endless.py
+++ b/tests/forwarding/test_endless.py
@@ -66,6 +66,14 @@
     return b'HTTP/1.1 200 OK\r\nx-padding: '
 
 
+def open_trailer(request: ReceivedRequest) -> bytes:
+    return b'%s1\r\nx\r\n0\r\nx-trailer: ' % chunked_head(request)
+
+
+def open_extension(request: ReceivedRequest) -> bytes:
+    return b'%s1;x=' % chunked_head(request)
+
+
 async def expect_unknown_outcome(
     harness: Harness, server: EndlessServer
 ) -> None:
@@ -75,6 +83,15 @@
     await server.wait_closed()
 
 
+# Guards against a parser that collects an incomplete field after a body, or the
+# size of a chunk, without a bound.
+@pytest.mark.parametrize('prefix', [open_trailer, open_extension])
+def test_framing_of_a_body_without_end(prefix: Prefix) -> None:
+    server = EndlessServer(prefix, b'x')
+    run(PLAIN, server, expect_unknown_outcome)
+    assert server.sent_bytes < IN_TRANSIT_BYTES
+
+
 @pytest.mark.parametrize(
     ('prefix', 'unit'),
     [
