--- a/src/acaciaramp/cmd/daemon.py
+++ b/src/acaciaramp/cmd/daemon.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from acaciaramp.util.heap import return_freed_memory
+from acaciaramp.util.heap import map_large_blocks
 
 Daemon = Callable[[anyio.Event], Awaitable[None]]
 
@@ -18,7 +18,7 @@
     Args:
         daemon: Called with the stop event; returns after it was set.
     """
-    return_freed_memory()
+    map_large_blocks()
     anyio.run(_run, daemon, backend_options={'use_uvloop': True})
 
 
--- a/src/acaciaramp/util/heap.py
+++ b/src/acaciaramp/util/heap.py
@@ -16,12 +16,12 @@
 _KEPT_BYTES = 131_072
 
 
-def return_freed_memory() -> bool:
-    """Let the heap return large blocks to the system when they are freed.
+def map_large_blocks() -> bool:
+    """Give each large block a mapping of its own, which ends when it is freed.
 
-    By default, the GNU C library raises the size from which a block has a
-    mapping of its own with each larger block that is freed. Bodies then share
-    pages with small objects that live on, and their memory stays in use.
+    By default, the GNU C library raises the size from which a block has one
+    with each larger block that is freed. Bodies then share pages with small
+    objects that live on, and their memory stays in use.
 
     Returns:
         Whether the C library has these settings.
--- a/tests/util/test_heap.py
+++ b/tests/util/test_heap.py
@@ -10,13 +10,13 @@
 # freed first, which changes the default settings of the heap.
 SCRIPT = """
 import sys
-from acaciaramp.util.heap import return_freed_memory
+from acaciaramp.util.heap import map_large_blocks
 
 def resident_bytes():
     status = open('/proc/self/status').read()
     return 1_024 * int(status.partition('VmRSS:')[2].split()[0])
 
-if not return_freed_memory():
+if not map_large_blocks():
     sys.exit('the C library has no such settings')
 idle = resident_bytes()
 large = bytearray(8_000_000)
