conversations: Free the content of a turn once its command is encoded

Cause: the content of a turn that is committed was held as a part of the command while the reply of the ledger was awaited, beside the encoded command and its frame; and it was joined with its chain for the cache of chains, which it emptied if it was larger than the cache.

LedgerClient.close_turn encodes the command when it is called and returns a coroutine, so that no frame refers to the command. Chains are joined only if they fit into the cache.

--- a/src/acaciaramp/conversations/cache.py
+++ b/src/acaciaramp/conversations/cache.py
@@ -38,6 +38,10 @@
             self._chains.move_to_end(key)
         return chain
 
+    def has_room(self, size: int) -> bool:
+        """Return whether a chain of some bytes fits into the cache at all."""
+        return size <= self._max_bytes
+
     def put(self, key: TurnKey, chain: bytes) -> None:
         """Store a chain and evict the least recently used ones over the limit.
 
--- a/src/acaciaramp/conversations/client.py
+++ b/src/acaciaramp/conversations/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import msgspec
@@ -24,7 +24,7 @@
 from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Coroutine, Sequence
 
     from acaciaramp.clock import Clock
     from acaciaramp.peering.links import Links
@@ -91,15 +91,18 @@
         Raises:
             CallError: No leader of the ledger replied in time.
         """
-        reply = await self._request(req, wait_ms)
+        reply = await self._request(self._encode(req), wait_ms)
         if not isinstance(reply, OpenReply):
             raise CallError(ErrorCode.INTERNAL, 'a reply of another kind')
         return reply
 
-    async def close_turn(self, req: CloseTurn, wait_ms: int) -> CloseReply:
+    def close_turn(
+        self, req: CloseTurn, wait_ms: int
+    ) -> Coroutine[Any, Any, CloseReply]:
         """Close a turn: settle its tokens and store it if it is retained.
 
-        The command is committed when this returns.
+        The command is committed when the coroutine returns. It is encoded at
+        once, so that the content is not held twice while the reply is awaited.
 
         Args:
             req: The command; it is idempotent and may be sent more than once.
@@ -108,16 +111,22 @@
         Raises:
             CallError: No leader of the ledger replied in time.
         """
-        reply = await self._request(req, wait_ms)
+        return self._close(self._encode(req), wait_ms)
+
+    async def _close(self, body: bytes, wait_ms: int) -> CloseReply:
+        reply = await self._request(body, wait_ms)
         if not isinstance(reply, CloseReply):
             raise CallError(ErrorCode.INTERNAL, 'a reply of another kind')
         return reply
 
-    async def _request(self, req: LedgerRequest, wait_ms: int) -> LedgerReply:
-        deadline_ms = self._clock.now_ms() + wait_ms
+    def _encode(self, req: LedgerRequest) -> bytes:
         body = _encode(req)
-        if self._region is not None:
-            body = _encode(HomeRequest(self._region, body))
+        if self._region is None:
+            return body
+        return _encode(HomeRequest(self._region, body))
+
+    async def _request(self, body: bytes, wait_ms: int) -> LedgerReply:
+        deadline_ms = self._clock.now_ms() + wait_ms
         timeout_ms = _ATTEMPT_TIMEOUT_MS
         pause_ms = _SEARCH_PAUSE_MS
         last_error = CallError(
--- a/src/acaciaramp/conversations/turns.py
+++ b/src/acaciaramp/conversations/turns.py
@@ -457,24 +457,29 @@
             CallError: As ``commit``.
         """
         plan = turn.plan
-        content = plan.content + result.output
-        now_ms = self._clock.wall_ms()
-        kept = RetainedTurn(
-            previous=plan.previous,
-            content=content,
-            until_ms=now_ms + plan.retention_ms,
+        reply = await self._ledger.close_turn(
+            self._close_command(plan, result), _COMMIT_TIMEOUT_MS
         )
-        req = CloseTurn(
+        _check_stored(plan, reply)
+        size = len(turn.chain) + len(plan.content) + len(result.output)
+        if self._cache.has_room(size):
+            chain = turn.chain + plan.content + result.output
+            self._cache.put(plan.key, chain)
+
+    def _close_command(self, plan: TurnPlan, result: TurnResult) -> CloseTurn:
+        now_ms = self._clock.wall_ms()
+        return CloseTurn(
             turn=plan.key,
             program=plan.program,
             tokens=result.tokens,
-            kept=kept,
+            kept=RetainedTurn(
+                previous=plan.previous,
+                content=plan.content + result.output,
+                until_ms=now_ms + plan.retention_ms,
+            ),
             at_ms=now_ms,
             endpoint=result.endpoint,
         )
-        reply = await self._ledger.close_turn(req, _COMMIT_TIMEOUT_MS)
-        _check_stored(plan, reply)
-        self._cache.put(plan.key, turn.chain + content)
 
     async def _commit_bound(
         self, turn: OpenedTurn, home: BoundTurn, result: TurnResult
--- a/tests/conversations/test_cache.py
+++ b/tests/conversations/test_cache.py
@@ -27,3 +27,9 @@
         cache.put(key('a'), b'aaaa')
     cache.put(key('b'), b'bbbb')
     assert cache.get(key('a')) == b'aaaa'
+
+
+def test_a_chain_that_is_larger_than_the_cache_has_no_room() -> None:
+    cache = ChainCache(max_bytes=10)
+    assert cache.has_room(10)
+    assert not cache.has_room(11)
