--- a/review/harness3/scenario.py
+++ b/review/harness3/scenario.py
@@ -32,9 +32,10 @@
             self.deployment.of('entry')[number]
         )
 
-    async def add_workers(self, service, count, behave, **fields):
+    async def add_workers(
+        self, service, count, behave, zones=tuple(ZONES), **fields
+    ):
         """Start the workers of a service, in all zones in turn."""
-        zones = list(ZONES)
         for number in range(count):
             worker = Worker(
                 self.deployment.new_host(),
--- a/review/harness3/standins.py
+++ b/review/harness3/standins.py
@@ -129,7 +129,17 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, host, service, zone, record, behave, port=0, slots=12):
+    def __init__(
+        self,
+        host,
+        service,
+        zone,
+        record,
+        behave,
+        port=0,
+        slots=12,
+        is_born_listed=True,
+    ):
         self.host = host
         self.port = port
         self.service = service
@@ -139,6 +149,8 @@
         self.slots = slots
         self.state = 'ready'
         self.is_listed = True
+        self.is_leaving = False
+        self._is_born_listed = is_born_listed
         self.runs = []
         self._channels = set()
         self._idle = set()
@@ -151,7 +163,7 @@
 
     def entry(self):
         """Return its entry in the platform's list."""
-        return {
+        entry = {
             'service': self.service,
             'address': f'{self.host}:{self.port}',
             'zone': self.zone,
@@ -162,8 +174,10 @@
             'stage': 'mixed',
             'models': [{'name': 'm', 'version': 1, 'adapters': []}],
             'id': self.id,
-            'born': self.born,
         }
+        if self._is_born_listed:
+            entry['born'] = self.born
+        return entry
 
     async def start(self):
         """Listen, on the same port after a crash."""
@@ -188,6 +202,18 @@
         self.record(f'worker {self.id} drops {len(self._idle)} idle channels')
         self._dropped |= self._idle
 
+    async def restart_in_place(self, down_s):
+        """Stop, and start again under the same id and address."""
+        self.record(f'worker {self.id} stops')
+        self._server.close()
+        for writer in list(self._channels):
+            writer.close()
+        await asyncio.sleep(down_s)
+        self.is_leaving = False
+        self.born = int(time.time() * 1000)
+        await self.start()
+        self.record(f'worker {self.id} has started again')
+
     async def _serve(self, reader, writer):
         self._channels.add(writer)
         try:
@@ -234,6 +260,8 @@
             f'X-Attempt-Id: {req.get("x-attempt-id")}\r\n'
             f'X-Instance-Load: 1,0,{self.slots}\r\n'
         )
+        if self.is_leaving:
+            headers += 'Server-Leaving: 1\r\n'
         if not_run:
             headers += 'X-Not-Executed: 1\r\n'
         else:
