--- a/review/harness3/scenario.py
+++ b/review/harness3/scenario.py
@@ -49,15 +49,17 @@
             self.record(f'worker {worker.id} of {service} starts')
             self.workers.append(worker)
 
-    async def begin(self, config):
-        """Start the list and all processes, confirm a config, wait for service."""
+    async def begin(self, config, settle_s=8):
+        """Start the list and all processes, confirm a config, wait for service.
+
+        Rates begin with empty buckets, and the pages let traffic start 12 s after the
+        machines; without tenants a shorter wait does.
+        """
         await InstanceList(self.workers).start(self.deployment.list_address)
         await self.deployment.start_all()
         await self.replace_config(config)
         await wait_ready(self.deployment)
-        # Rates begin with empty buckets, and the pages let traffic start 12 s
-        # after the machines.
-        await asyncio.sleep(8)
+        await asyncio.sleep(settle_s)
 
     async def replace_config(self, config):
         """Send a config until it is confirmed."""
