--- a/review/harness3/scenario.py
+++ b/review/harness3/scenario.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 
@@ -75,6 +76,8 @@
 
     ``play(case)`` returns None if the rule held, else what broke it.
     """
+    # As SIGINT: the processes that were started are ended first.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(os.path.join(folder, 'record.txt'))
     sys.exit(asyncio.run(_run(record, play, settings)))
 
