--- a/review/harness3/deployment.py
+++ b/review/harness3/deployment.py
@@ -54,6 +54,7 @@
         self._settings = settings
         self._next_host = 10
         self.machines = []
+        self._is_closed = False
         self.inner, self.tunnel, self.callers, self.ready, self.operators = (
             _free_ports(f'{self._net}.1', 5)
         )
@@ -149,6 +150,8 @@
 
     async def start(self, machine):
         """Start the process with the command of the deploy file."""
+        if self._is_closed:
+            return
         self.write_settings(machine)
         machine.first_start = False
         env = {
@@ -168,6 +171,9 @@
                 stdout=log,
                 stderr=log,
             )
+        if self._is_closed:
+            # Closed while the process was being started.
+            await self.kill(machine)
 
     async def start_all(self):
         """Start all machines."""
@@ -199,6 +205,7 @@
 
     async def close(self, keep=False):
         """Kill all processes and remove the folder."""
+        self._is_closed = True
         for machine in self.machines:
             if machine.is_running:
                 machine.process.kill()
