forwarding: Log why a request that may have run is sent again

The logs showed that the entry itself had sent the second copy, as the failed attempt and the next choice of an endpoint bear the same id and process, and that the attempt was taken as one that may have run (verdict=may_have_run). They did not show what had allowed the retry: a kind that was decoded wrongly, a table of another version, or the rule on what may be repeated. The decision is a line of its own now, with the kind of the route, whether it is resumable, and the runs so far.

Nothing else changes: the line is written for a retry that happened before as well.

--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -316,10 +316,21 @@
             CallError: The endpoint may have executed the request, and it must
                 not be executed again; or it would add to an overload.
         """
-        if exc.verdict is not Verdict.NOT_RUN and not call.can_retry:
+        may_have_run = exc.verdict is not Verdict.NOT_RUN
+        if may_have_run and not call.can_retry:
             raise _unknown_outcome_error(exc) from None
         if self._chooser.overload is not None:
             self._chooser.overload.check_retry(call, exc)
+        if may_have_run:
+            logger.info(
+                'Retrying a request that may have run, as its route allows.',
+                attempt=call.inbound.attempt,
+                route=call.route.name,
+                kind=call.route.kind.value,
+                is_resumable=call.route.is_resumable,
+                runs=call.runs,
+                attempts=call.route.attempts,
+            )
 
 
 def _unknown_outcome_error(exc: EndpointError) -> CallError:
