routing: Repeat requests of resumable routes only if these serve streams

Callers saw: an order on a non-idempotent route that also has `resumable` ran at two endpoints with one request id when its first answer was lost, and was answered 200.

Cause: Route.is_repeatable took the resumable mark of a route by itself for leave to repeat its requests, whatever the kind of the route. The mark says that a stream may be resumed. It may stand on any route of a valid table and means nothing on one without streams. Call asked for both, in a property of its own, so that the two had drifted apart.

Why it works: that a route has resumable streams is one property of Route now, which asks for the kind, and both the rule on repeats and the origin of streams use it. All retries of unknown outcomes pass through Call.can_retry, also those through peers and under admission control. Refusing such a table instead would be wrong: it is valid, as before.

Related: config check left out its finding on attempts above 1 for such routes, since it asked the same property.

--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -12,7 +12,7 @@
 from acaciaramp.forwarding.messages import InboundRequest
 from acaciaramp.forwarding.selector import EndpointQuery
 from acaciaramp.ids import EndpointId, ServiceName, WorkspaceId
-from acaciaramp.routing.model import Route, RouteKind, Service
+from acaciaramp.routing.model import Route, Service
 from acaciaramp.scheduling.demand import Demand
 from acaciaramp.verdicts import Verdict
 
@@ -73,12 +73,14 @@
     @property
     def begins_stream(self) -> bool:
         """Whether it begins a stream that another request may resume."""
-        return self._is_resumable_stream and self.inbound.resumed is None
+        is_resumable = self.route.has_resumable_streams
+        return is_resumable and self.inbound.resumed is None
 
     @property
     def resumes_stream(self) -> bool:
         """Whether it resumes the stream of an earlier request."""
-        return self._is_resumable_stream and self.inbound.resumed is not None
+        is_resumable = self.route.has_resumable_streams
+        return is_resumable and self.inbound.resumed is not None
 
     @property
     def origin(self) -> StreamOrigin | None:
@@ -174,8 +176,3 @@
     def _cache_tokens(self) -> int:
         service = self.services.get(self.service)
         return 0 if service is None else service.cache_tokens
-
-    @property
-    def _is_resumable_stream(self) -> bool:
-        is_stream = self.route.kind is RouteKind.STREAMING
-        return is_stream and self.route.is_resumable
--- a/src/acaciaramp/routing/model.py
+++ b/src/acaciaramp/routing/model.py
@@ -53,7 +53,8 @@
         is_public: Whether requests need no key.
         is_sticky: Whether an endpoint that served the same object before is
             faster.
-        is_resumable: Whether a stream may be resumed at another endpoint.
+        is_resumable: Whether a stream may be resumed at another endpoint; valid
+            on any route, but without effect on those that serve no streams.
         is_retained: Whether turns are stored so that later ones can continue
             them.
         retention_ms: How long turns are stored, milliseconds.
@@ -77,10 +78,15 @@
     retention_ms: int = 0
     home_regions: tuple[str, ...] = ()
 
+    @property
+    def has_resumable_streams(self) -> bool:
+        """Whether its responses are streams that may be resumed."""
+        return self.kind is RouteKind.STREAMING and self.is_resumable
+
     @property
     def is_repeatable(self) -> bool:
         """Whether endpoints may execute a request more than once."""
-        return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
+        return self.kind is RouteKind.IDEMPOTENT or self.has_resumable_streams
 
     def allows(self, service: ServiceName) -> bool:
         """Return whether requests may be sent to a service."""
--- a/tests/routing/test_review.py
+++ b/tests/routing/test_review.py
@@ -83,6 +83,16 @@
     assert text in found[0]
 
 
+# Guards against attempts that are reported as allowed since a plain route is marked
+# as resumable.
+def test_a_resumable_mark_on_a_plain_route_allows_no_attempts() -> None:
+    route = build.route(kind=PLAIN, is_resumable=True, attempts=2)
+    found = texts(table(route))
+    assert len(found) == 2
+    assert 'allows 2 attempts' in found[0]
+    assert 'only streams are resumed' in found[1]
+
+
 def test_route_that_another_one_shadows_is_found() -> None:
     routes = [
         build.route(name='all', prefix=''),
