forwarding: Count equal plain requests as equal on routes marked as retained

Call.digest included the continued turn if the route was marked as retained. On a plain route nothing is continued and the header is passed on as any other; the digest there covers path, caller and body.

Why it works: that a route has retained turns is one property of Route, which asks for the kind. The digest, the plan of a turn and admission control use it.

Test: test_routes_that_retain_nothing_ignore_the_continued_turn, now also with a non-idempotent and an idempotent route that are marked: these two failed before, two digests instead of one. Digests of streaming routes are unchanged, so that entries of both builds still count the same requests as equal there.

--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -170,7 +170,9 @@
 
     @property
     def _continued_turn(self) -> str | None:
-        return self.inbound.turn.previous if self.route.is_retained else None
+        if not self.route.has_retained_turns:
+            return None
+        return self.inbound.turn.previous
 
     @property
     def _cache_tokens(self) -> int:
--- a/src/acaciaramp/forwarding/overload.py
+++ b/src/acaciaramp/forwarding/overload.py
@@ -13,7 +13,6 @@
 from acaciaramp.errors import CallError, ErrorCode
 from acaciaramp.metrics.names import Counter, LevelMove, Timer
 from acaciaramp.retries.budget import WindowedRetryBudget
-from acaciaramp.routing.model import RouteKind
 from acaciaramp.scheduling.admission_level import AdmissionLevel
 from acaciaramp.scheduling.admission_queue import AdmissionQueue, QueueRefusal
 from acaciaramp.scheduling.demand import Demand, position_of
@@ -323,12 +322,11 @@
         same. It has its program's position, which was admitted before.
         """
         turn = call.inbound.turn
-        if call.route.kind is not RouteKind.STREAMING:
+        if not call.route.has_retained_turns:
             return False
         if turn.program is None or turn.program in self._seen:
             return False
-        goes_on = turn.previous is not None or call.inbound.resumed is not None
-        return call.route.is_retained and not goes_on
+        return turn.previous is None and call.inbound.resumed is None
 
     def _record_seen(self, program: ProgramId | None) -> None:
         if program is None:
--- a/src/acaciaramp/forwarding/turns.py
+++ b/src/acaciaramp/forwarding/turns.py
@@ -188,14 +188,14 @@
 def _plan(call: Call) -> TurnPlan:
     params = call.inbound.turn
     retention_ms = 0
-    if call.route.is_retained:
+    if call.route.has_retained_turns:
         retention_ms = max(1, call.route.retention_ms)
     return TurnPlan(
         key=TurnKey(call.workspace or WorkspaceId(''), call.inbound.attempt),
         program=params.program,
         budget=params.budget,
         most_tokens=params.most_tokens,
-        previous=params.previous if call.route.is_retained else None,
+        previous=params.previous if call.route.has_retained_turns else None,
         content=call.inbound.body,
         retention_ms=retention_ms,
         origin=call.expected_origin,
--- a/src/acaciaramp/routing/model.py
+++ b/src/acaciaramp/routing/model.py
@@ -56,7 +56,7 @@
         is_resumable: Whether a stream may be resumed at another endpoint; valid
             on any route, but without effect on those that serve no streams.
         is_retained: Whether turns are stored so that later ones can continue
-            them.
+            them; without effect on routes that serve no streams, as above.
         retention_ms: How long turns are stored, milliseconds.
         home_regions: Regions in which its requests may run and be stored;
             empty for all.
@@ -83,6 +83,11 @@
         """Whether its responses are streams that may be resumed."""
         return self.kind is RouteKind.STREAMING and self.is_resumable
 
+    @property
+    def has_retained_turns(self) -> bool:
+        """Whether its requests are turns that later ones can continue."""
+        return self.kind is RouteKind.STREAMING and self.is_retained
+
     @property
     def is_repeatable(self) -> bool:
         """Whether endpoints may execute a request more than once."""
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import pytest
 
 from acaciaramp.clock import ManualClock
 from acaciaramp.routing.model import RouteKind
@@ -19,6 +20,7 @@
 )
 
 if TYPE_CHECKING:
+    from acaciaramp.routing.model import Route
     from tests.forwarding.endpoint import ReceivedRequest, ScriptedEndpoint
 
 RETAINED = build.route(is_retained=True, retention_ms=60_000)
@@ -46,7 +48,17 @@
 
 
 # Guards against a request that escapes the quarantine by a header without meaning.
-def test_routes_that_retain_nothing_ignore_the_continued_turn() -> None:
+@pytest.mark.parametrize(
+    'route',
+    [
+        build.route(),
+        build.route(kind=RouteKind.NON_IDEMPOTENT, is_retained=True),
+        build.route(kind=RouteKind.IDEMPOTENT, is_retained=True),
+    ],
+)
+def test_routes_that_retain_nothing_ignore_the_continued_turn(
+    route: Route,
+) -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         for attempt in ('a1', 'a2'):
             await harness.request(
@@ -55,7 +67,7 @@
         harness.crashes.watch.observe([])
         assert len(harness.crashes.digests) == 1
 
-    run(build.route(), scenario, dropped)
+    run(route, scenario, dropped)
 
 
 class WatchedEndpoint(RecordedCrashes):
