forwarding: Ask endpoints that said that they were leaving whether they serve again

Cause: the word of an endpoint that it is leaving counted until the list lacked it or had another start of it. The list of this case states no start times, so that a new lifetime under the same id, address and version looks like the one before; nothing else ended it.

Why it works: the word belongs to one lifetime. While the list calls such an endpoint ready, the entry asks it for its health, drain_ms after its last word and then after pauses of 1 to 8 s, at most four endpoints in 500 ms. An answer that it serves ends the mark, unless it has said that it is leaving since the question. Where a service has no health path, the mark ends 30 s after the word.

forwarding/leaving.py is taken out of the selector; CrashWatch counts ends of endpoints that have come back. The health path of a service is decoded now; one that cannot be sent makes no config invalid, as before.

--- a/src/acaciaramp/forwarding/crashes.py
+++ b/src/acaciaramp/forwarding/crashes.py
@@ -171,6 +171,10 @@
         self._leaving_ms[lifetime] = self._clock.now_ms()
         self._suspects.pop(lifetime, None)
 
+    def record_return(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint serves again: no end of it is planned."""
+        self._leaving_ms.pop(_lifetime_of(endpoint), None)
+
     def observe(self, endpoints: Iterable[Endpoint]) -> None:
         """Compare the suspects with a new instance list."""
         self._drop_old()
--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -177,6 +177,22 @@
         """Return the parsed status and headers of an endpoint's response."""
         ...
 
+    def write_health_check(self, endpoint: Endpoint) -> RawHeaders:
+        """Return the headers of a question for the health of an endpoint."""
+        ...
+
+    def is_serving(
+        self, endpoint: Endpoint, status: int, headers: RawHeaders
+    ) -> bool:
+        """Return whether an endpoint says that it serves requests.
+
+        Args:
+            endpoint: The endpoint that was asked.
+            status: Status of its answer.
+            headers: Headers of its answer.
+        """
+        ...
+
     def write_refusal(self, refusal: Refusal) -> tuple[int, RawHeaders, bytes]:
         """Return status, headers and body of the response to a refused call."""
         ...
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -14,10 +14,10 @@
 
 import msgspec
 
-from acaciaramp.coordination.messages import Endpoint
 from acaciaramp.endpoints.failures import Failure
 from acaciaramp.errors import ErrorCode
 from acaciaramp.forwarding.finish_ranking import FinishRanking
+from acaciaramp.forwarding.leaving import LeavingEndpoints
 from acaciaramp.forwarding.region_reach import RegionReach
 from acaciaramp.ids import ServiceName
 from acaciaramp.metrics.client import Metrics
@@ -30,6 +30,8 @@
     from collections.abc import Collection, Mapping
 
     from acaciaramp.clock import Clock
+    from acaciaramp.coordination.messages import Endpoint
+    from acaciaramp.forwarding.leaving import LeavingEndpoint
     from acaciaramp.forwarding.messages import EndpointLoad
     from acaciaramp.ids import AvailabilityZone, EndpointId
     from acaciaramp.scheduling.speeds import ResponseTiming
@@ -66,22 +68,6 @@
     paused_until_ms: int = 0
 
 
-class _LeavingEndpoint(msgspec.Struct, frozen=True):
-    """An endpoint that must get no new requests.
-
-    Attributes:
-        endpoint: The endpoint.
-        since_ms: When this instance learned that it is leaving.
-        has_said_so: Whether the endpoint itself has said so. Its word counts
-            whatever the list says, which may be late, until the list shows that
-            it is gone or has started anew.
-    """
-
-    endpoint: Endpoint
-    since_ms: int
-    has_said_so: bool
-
-
 class EndpointQuery(msgspec.Struct, frozen=True, kw_only=True):
     """What a request needs of its endpoint, and what it prefers.
 
@@ -125,6 +111,7 @@
 
     Attributes:
         board: Load of the endpoints.
+        leaving: The endpoints that are leaving.
     """
 
     def __init__(
@@ -161,7 +148,7 @@
         self._clock = clock
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
         self._by_id: dict[EndpointId, Endpoint] = {}
-        self._leaving: dict[EndpointId, _LeavingEndpoint] = {}
+        self.leaving = LeavingEndpoints(clock)
         # Endpoints that have failed since their last response.
         self._states: dict[str, _EndpointState] = {}
         self._endpoint_by_affinity: collections.OrderedDict[str, str] = (
@@ -178,14 +165,8 @@
         first call after its last request has ended.
         """
         by_service: dict[ServiceName, list[Endpoint]] = {}
-        leaving: dict[EndpointId, _LeavingEndpoint] = {}
-        for item in endpoints:
-            entry = self._leaving_entry(item)
-            if entry is None:
-                by_service.setdefault(item.service, []).append(item)
-            else:
-                leaving[item.id] = entry
-        self._leaving = leaving
+        for item in self.leaving.replace_endpoints(endpoints):
+            by_service.setdefault(item.service, []).append(item)
         self._log_changes(by_service)
         self._by_service = by_service
         self._by_id = {endpoint.id: endpoint for endpoint in endpoints}
@@ -377,18 +358,14 @@
 
     def record_leaving(self, endpoint: Endpoint) -> None:
         """Record that an endpoint has said in a response that it is leaving."""
-        known = self._leaving.get(endpoint.id)
-        if known is not None and known.has_said_so:
+        known = self.leaving.record_word(endpoint)
+        if known is not None and known.said_ms is not None:
             return
         logger.info(
             'An endpoint says that it is leaving; sending it no new requests.',
             endpoint=endpoint.id,
             is_listed_as_leaving=known is not None,
         )
-        since_ms = self._clock.now_ms() if known is None else known.since_ms
-        self._leaving[endpoint.id] = _LeavingEndpoint(
-            endpoint, since_ms, has_said_so=True
-        )
         group = self._by_service.get(endpoint.service, [])
         self._by_service[endpoint.service] = [
             item for item in group if item.id != endpoint.id
@@ -396,6 +373,24 @@
         if not self._by_service[endpoint.service]:
             self._by_service.pop(endpoint.service)
 
+    def record_return(self, entry: LeavingEndpoint) -> bool:
+        """Record that an endpoint serves requests after it has said it leaves.
+
+        Args:
+            entry: The endpoint as ``leaving.doubted`` returned it.
+
+        Returns:
+            Whether it gets requests from now on.
+        """
+        if not self.leaving.end(entry):
+            return False
+        endpoint = entry.endpoint
+        self._by_service.setdefault(endpoint.service, []).append(endpoint)
+        self._region_reach.replace_zones(
+            {each.availability_zone for each in self.staying()}, self._regions
+        )
+        return True
+
     def record_success(self, endpoint: Endpoint) -> None:
         """Record a response of an endpoint; this ends its backoff."""
         self._states.pop(endpoint.id, None)
@@ -445,9 +440,8 @@
         oldest_ms = self._clock.now_ms() - self._leaving_grace_ms
         return [
             entry.endpoint
-            for entry in self._leaving.values()
-            if entry.endpoint.service == query.service
-            and self._allows(query, entry.endpoint, closed)
+            for entry in self.leaving.of_service(query.service)
+            if self._allows(query, entry.endpoint, closed)
             and entry.since_ms > oldest_ms
         ]
 
@@ -459,17 +453,6 @@
         region = self._regions.get(endpoint.availability_zone)
         return query.allows(endpoint, region)
 
-    def _leaving_entry(self, listed: Endpoint) -> _LeavingEndpoint | None:
-        """Return the entry of a listed endpoint that is leaving, else None."""
-        known = self._leaving.get(listed.id)
-        if known is not None and not _is_same_start(known.endpoint, listed):
-            known = None
-        has_said_so = known is not None and known.has_said_so
-        if not listed.is_leaving and not has_said_so:
-            return None
-        since_ms = self._clock.now_ms() if known is None else known.since_ms
-        return _LeavingEndpoint(listed, since_ms, has_said_so)
-
     def _warm_id(self, query: EndpointQuery) -> str | None:
         """Return the endpoint that is expected to be warm for a request."""
         known = self._endpoint_by_affinity.get(query.affinity_key)
@@ -513,14 +496,5 @@
     return state is not None and state.paused_until_ms > now_ms
 
 
-def _is_same_start(first: Endpoint, second: Endpoint) -> bool:
-    """Return whether two entries of one id are of the same start."""
-    return _start(first) == _start(second)
-
-
-def _start(endpoint: Endpoint) -> tuple[str, int, int, str]:
-    return endpoint.host, endpoint.port, endpoint.born_ms, endpoint.version
-
-
 def _ids(by_service: dict[ServiceName, list[Endpoint]]) -> set[str]:
     return {item.id for group in by_service.values() for item in group}
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -38,6 +38,8 @@
         TUNNEL_OPENED: Tunnels through peers opened.
         TUNNEL_FAILED: Peers that opened no tunnel when they were asked.
         TUNNEL_REQUESTED: Tunnels that peers asked for, by ``TunnelOutcome``.
+        LEAVING_PROBED: Questions to endpoints that have said that they are
+            leaving, whether they serve again, by ``ProbeOutcome``.
         LEVEL_CHANGED: Changes of the admission level of a service, by
             ``LevelMove``.
         CALLER_CLOSED: Connections of callers that were closed, or refused a
@@ -74,6 +76,7 @@
     TUNNEL_OPENED = 'tunnel.opened'
     TUNNEL_FAILED = 'tunnel.failed'
     TUNNEL_REQUESTED = 'tunnel.requested'
+    LEAVING_PROBED = 'leaving.probed'
     LEVEL_CHANGED = 'admission.level'
     CALLER_CLOSED = 'caller.closed'
     MEMORY_SCARCE = 'memory.scarce'
@@ -89,6 +92,22 @@
     NONE = 'none'
 
 
+class ProbeOutcome(enum.Enum):
+    """Reasons of ``LEAVING_PROBED``: what an endpoint has answered.
+
+    Attributes:
+        SERVING: It serves requests again.
+        LEAVING: It is leaving, or it is too early to use it without asking.
+        FAILED: It has not answered.
+        UNASKED: It cannot be asked and is used again without an answer.
+    """
+
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+    FAILED = 'failed'
+    UNASKED = 'unasked'
+
+
 class LevelMove(enum.Enum):
     """Reasons of ``LEVEL_CHANGED``: whether more or fewer programs are admitted."""
 
--- a/src/acaciaramp/platform/config.py
+++ b/src/acaciaramp/platform/config.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+from typing import Any
+
 import msgspec
 
 from acaciaramp.ids import ServiceName, WorkspaceId
@@ -18,6 +21,7 @@
 
 _MS_PER_SECOND = 1000
 _MAX_CACHE_TOKENS = 1_000_000_000
+_HEALTH_PATH = re.compile(r'/[!-~]{0,255}')
 
 
 class _SplitPart(msgspec.Struct):
@@ -60,7 +64,10 @@
 
 
 class _Service(msgspec.Struct, rename='camel', kw_only=True):
+    """A service; one whose ``health_path`` is none is valid."""
+
     name: str
+    health_path: Any = None
     max_conns: int = 0
     cold_start_s: float = 0
     cold_per_s: float = 0
@@ -165,6 +172,7 @@
         cold_per_s=wire.cold_per_s,
         tokens_per_event=0 if engine is None else engine.chunk_tokens,
         cache_tokens=_cache_tokens(engine),
+        health_path=_health_path(wire.health_path),
     )
 
 
@@ -175,6 +183,12 @@
     return max(0, int(min(engine.kv_capacity, _MAX_CACHE_TOKENS)))
 
 
+def _health_path(stated: Any) -> str:
+    """Return the path of health checks; empty if none that can be sent is stated."""
+    is_path = isinstance(stated, str) and _HEALTH_PATH.fullmatch(stated)
+    return stated if is_path else ''
+
+
 def _limits(wire: _Limits) -> TrafficLimits:
     return TrafficLimits(
         header_bytes=wire.max_header_bytes,
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -71,6 +71,8 @@
 _NOT_FORWARDED = _SYSTEM_HEADERS | {_DEADLINE, b'authorization'}
 _UNIQUE_HEADERS = (_CONTENT_LENGTH, _HOST, _ATTEMPT, b'authorization')
 _MISDIRECTED_STATUS = 421
+_FIRST_SUCCESS = 200
+_FIRST_REDIRECT = 300
 _MS_PER_SECOND = 1000
 # Bounds on what callers may state of their prompts, over what engines can hold.
 _MAX_TOKENS = 10_000_000
@@ -160,6 +162,28 @@
             is_leaving=_is_leaving(status, lowered),
         )
 
+    def write_health_check(self, endpoint: Endpoint) -> RawHeaders:
+        """Return the headers of a question for the health of an endpoint."""
+        host = f'[{endpoint.host}]' if ':' in endpoint.host else endpoint.host
+        return [
+            (_HOST, f'{host}:{endpoint.port}'.encode()),
+            (_EXPECT_INSTANCE, endpoint.id.encode()),
+        ]
+
+    def is_serving(
+        self, endpoint: Endpoint, status: int, headers: RawHeaders
+    ) -> bool:
+        """Return whether an endpoint says that it serves requests.
+
+        Another endpoint may have been given its address; that one names its own
+        id, or says that the question was misdirected.
+        """
+        head = self.read_response(status, headers)
+        named = _text(dict(head.headers), b'x-instance-id')
+        is_other = named not in {'', endpoint.id}
+        is_success = _FIRST_SUCCESS <= status < _FIRST_REDIRECT
+        return is_success and not (is_other or head.is_leaving)
+
     def write_refusal(self, refusal: Refusal) -> tuple[int, RawHeaders, bytes]:
         """Return the status, headers and body of an error response."""
         body = msgspec.json.encode(
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -26,6 +26,7 @@
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
 from acaciaramp.forwarding.protocol import TrafficLimitProtocol
+from acaciaramp.forwarding.return_watch import ReturnWatch, make_health_check
 from acaciaramp.forwarding.turns import TurnLifecycle
 from acaciaramp.ids import WorkspaceId
 from acaciaramp.limits.quota import Quota
@@ -119,6 +120,19 @@
         self._connections = ConnectionPool(
             self._paths.dialer, context.clock, self._max_connections
         )
+        self._returns = ReturnWatch(
+            self._selector,
+            make_health_check(
+                adapter.codec,
+                self._connections,
+                lambda: self._router.services,
+                context.clock,
+            ),
+            self._crashes.record_return,
+            context.clock,
+            context.metrics,
+            int(cfg.bounds.drain_ms),
+        )
         self._follower = context.make_follower(
             self._on_table, self._on_view, lambda: None
         )
@@ -186,6 +200,7 @@
         context.tasks.start_soon(self._follower.run)
         context.tasks.start_soon(self._run_ticks)
         context.tasks.start_soon(self._crashes.run)
+        context.tasks.start_soon(self._returns.run)
         if self._overload is not None:
             context.tasks.start_soon(self._overload.run)
         self._paths.start()
--- a/src/acaciaramp/routing/model.py
+++ b/src/acaciaramp/routing/model.py
@@ -115,6 +115,8 @@
         cold_start_ms: How long an endpoint is cold after its start.
         cold_per_s: Requests per second that a cold endpoint can handle; 0 for
             no limit.
+        health_path: Path at which endpoints say whether they serve requests;
+            empty if they do not.
     """
 
     name: ServiceName
@@ -123,6 +125,7 @@
     cache_tokens: int = 0
     cold_start_ms: int = 0
     cold_per_s: float = 0
+    health_path: str = ''
 
 
 class TrafficLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -165,6 +165,20 @@
     assert not watched.reported
 
 
+# Guards against crashes that are not counted, as the endpoint once was leaving.
+def test_an_end_after_the_return_of_a_leaving_endpoint_is_a_crash() -> None:
+    watched = WatchedEndpoint()
+    watched.watch.record_leaving(watched.endpoint)
+    watched.lose()
+    watched.watch.record_return(watched.endpoint)
+    watched.watch.observe([])
+    assert not watched.digests
+    watched.watch.observe([watched.endpoint])
+    watched.lose('later')
+    watched.watch.observe([])
+    assert watched.digests == ['later']
+
+
 def test_an_end_long_after_a_failure_is_no_crash() -> None:
     watched = WatchedEndpoint()
     watched.lose()
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -69,7 +69,7 @@
             tokens_per_event=11,
             cache_tokens=76_186,
         ),
-        Service(name=TOOL),
+        Service(name=TOOL, health_path='/healthz'),
     )
     assert table.limits == TrafficLimits(header_bytes=1, idle_ms=15_000)
     assert table.workspaces == (
@@ -104,6 +104,30 @@
     )
 
 
+# Guards against a config that is rejected for a field that makes none invalid.
+@pytest.mark.parametrize(
+    ('stated', 'expected'),
+    [
+        ('/healthz', '/healthz'),
+        ('/h?a=1', '/h?a=1'),
+        ('', ''),
+        ('healthz', ''),
+        ('/a b', ''),
+        ('/a\r\nx: 1', ''),
+        ('/' + 'a' * 256, ''),
+        (None, ''),
+        (5, ''),
+        (['/healthz'], ''),
+    ],
+)
+def test_a_health_path_that_is_none_rejects_no_config(
+    stated: Any, expected: str
+) -> None:
+    services = [{'name': 'model', 'healthPath': stated}]
+    table = decode_table(config_json(services=services))
+    assert table.services[0].health_path == expected
+
+
 @pytest.mark.parametrize(
     'wrong',
     [
--- a/tests/roles/test_entry.py
+++ b/tests/roles/test_entry.py
@@ -17,7 +17,11 @@
 from acaciaramp.settings.node import SettingsFile
 from acaciaramp.util.webserver import bind_socket
 from tests import builders as build
-from tests.forwarding.endpoint import read_request, response_to
+from tests.forwarding.endpoint import (
+    ScriptedEndpoint,
+    read_request,
+    response_to,
+)
 
 if TYPE_CHECKING:
     import pathlib
@@ -26,6 +30,7 @@
     from anyio.abc import SocketStream, TaskGroup
 
     from acaciaramp.coordination.messages import Endpoint
+    from tests.forwarding.endpoint import ReceivedRequest
 
 CALLERS = 6
 SHORT, LONG = '/short/', '/long/'
@@ -55,7 +60,7 @@
 CONFIG = {
     'version': 1,
     'routes': [route(SHORT, SHORT_LIMIT_MS), route(LONG, 60_000)],
-    'services': [{'name': str(build.MODEL)}],
+    'services': [{'name': str(build.MODEL), 'healthPath': '/healthz'}],
 }
 
 
@@ -193,6 +198,64 @@
     assert set(others) <= {b'HTTP/1.1 503 ', b''}
 
 
+class RestartingEndpoint:
+    """Says that it is leaving until it has started again under its id.
+
+    Attributes:
+        is_leaving: Whether it says so in each answer.
+        asked: Number of requests for its health.
+    """
+
+    def __init__(self) -> None:
+        """Create the endpoint, which is leaving."""
+        self.is_leaving = True
+        self.asked = 0
+
+    def answer(self, request: ReceivedRequest) -> list[bytes | None]:
+        """Answer a request."""
+        self.asked += request.head.startswith(b'GET /healthz')
+        line = 'server-leaving: 1\r\n' if self.is_leaving else ''
+        return [response_to(request, b'whole', header_lines=line)]
+
+
+# Guards against endpoints that get no request any more once they have started again
+# in place, in a list that does not show it.
+def test_an_endpoint_that_starts_again_in_place_gets_requests_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    host = build.loopback_host()
+    port = free_port(host)
+    restarting = RestartingEndpoint()
+
+    async def scenario() -> None:
+        stop = anyio.Event()
+        async with anyio.create_task_group() as background:
+            bounds = {'grace_s': GRACE_S, 'drain_ms': 500}
+            role = make_role(tmp_path, host, port, background, bounds=bounds)
+            endpoint = ScriptedEndpoint(restarting.answer)
+            async with endpoint.serving('e-1') as listed:
+                role._replace_endpoints((listed,))
+                background.start_soon(role.run, stop)
+                await anyio.sleep(0.3)
+                first = await request(host, port, SHORT, 'first')
+                assert first.endswith(b'whole')
+                refused = await request(host, port, SHORT, 'refused')
+                assert refused.startswith(b'HTTP/1.1 503 ')
+                restarting.is_leaving = False
+                while not (await request(host, port, SHORT, 'again')).endswith(
+                    b'whole'
+                ):
+                    await anyio.sleep(0.1)
+                assert restarting.asked
+            background.cancel_scope.cancel()
+
+    async def main() -> None:
+        with anyio.fail_after(TIMEOUT_S):
+            await scenario()
+
+    anyio.run(main)
+
+
 def test_admission_control_is_on_only_where_the_settings_ask_for_it(
     tmp_path: pathlib.Path,
 ) -> None:
