forwarding: Ignore what an earlier lifetime of an endpoint has said

What callers could see, by reading: a response of an endpoint that was leaving arrives after the list has shown its next lifetime under the same id. The present one got no requests until the next list, and lists are passed on only if they change.

Cause: the selector marked the id, whatever lifetime the response was of.

Why it works: the word counts only if the list has the same start of the endpoint.

--- a/src/acaciaramp/forwarding/leaving.py
+++ b/src/acaciaramp/forwarding/leaving.py
@@ -110,7 +110,7 @@
     def _entry(self, listed: Endpoint) -> LeavingEndpoint | None:
         """Return the entry of a listed endpoint that is leaving, else None."""
         known = self._entries.get(listed.id)
-        if known is not None and not _is_same_start(known.endpoint, listed):
+        if known is not None and not is_same_start(known.endpoint, listed):
             known = None
         said_ms = None if known is None else known.said_ms
         if not listed.is_leaving and said_ms is None:
@@ -119,7 +119,7 @@
         return LeavingEndpoint(listed, since_ms, said_ms)
 
 
-def _is_same_start(first: Endpoint, second: Endpoint) -> bool:
+def is_same_start(first: Endpoint, second: Endpoint) -> bool:
     """Return whether two entries of one id are of the same start."""
     return _start(first) == _start(second)
 
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -17,7 +17,7 @@
 from acaciaramp.endpoints.failures import Failure
 from acaciaramp.errors import ErrorCode
 from acaciaramp.forwarding.finish_ranking import FinishRanking
-from acaciaramp.forwarding.leaving import LeavingEndpoints
+from acaciaramp.forwarding.leaving import LeavingEndpoints, is_same_start
 from acaciaramp.forwarding.region_reach import RegionReach
 from acaciaramp.ids import ServiceName
 from acaciaramp.metrics.client import Metrics
@@ -357,7 +357,14 @@
         )
 
     def record_leaving(self, endpoint: Endpoint) -> None:
-        """Record that an endpoint has said in a response that it is leaving."""
+        """Record that an endpoint has said in a response that it is leaving.
+
+        A late response of an earlier lifetime, or of an endpoint that is not listed
+        any more, says nothing of the present one.
+        """
+        listed = self._by_id.get(endpoint.id)
+        if listed is None or not is_same_start(listed, endpoint):
+            return
         known = self.leaving.record_word(endpoint)
         if known is not None and known.said_ms is not None:
             return
--- a/tests/forwarding/test_return_watch.py
+++ b/tests/forwarding/test_return_watch.py
@@ -189,6 +189,18 @@
     assert watched.usable == []
 
 
+# Guards against the return of an endpoint that is not listed any more.
+def test_an_endpoint_that_is_gone_is_not_asked() -> None:
+    watched = Watched()
+    watched.answers['e-0'] = True
+    (gone,) = watched.endpoints
+    watched.selector.replace_endpoints(())
+    watched.selector.record_leaving(gone)
+    watched.pass_s(60)
+    assert not watched.asked
+    assert watched.usable == []
+
+
 def test_an_endpoint_that_leaves_once_more_gets_no_requests() -> None:
     watched = Watched()
     watched.answers['e-0'] = True
--- a/tests/forwarding/test_selector.py
+++ b/tests/forwarding/test_selector.py
@@ -124,6 +124,20 @@
     assert chosen(selector) == 'a'
 
 
+# Guards against a late response of an earlier lifetime that takes the requests from
+# the present one until the next list.
+def test_the_word_of_an_earlier_lifetime_says_nothing_of_the_present_one() -> (
+    None
+):
+    old, new = endpoint('a', born_ms=1), endpoint('a', born_ms=2)
+    selector = selector_with(old, endpoint('b', 'south'), clock=ManualClock())
+    selector.replace_endpoints((new, endpoint('b', 'south')))
+    selector.record_leaving(old)
+    assert chosen(selector) == 'a'
+    selector.record_leaving(new)
+    assert chosen(selector) == 'b'
+
+
 def test_an_endpoint_that_is_listed_again_after_it_was_gone_is_used() -> None:
     a, b = endpoint('a'), endpoint('b', 'south')
     selector = selector_with(a, b, clock=ManualClock())
