forwarding: Do not ask an endpoint that the list has called leaving meanwhile

The word of an endpoint is kept with its entry in the present list now. test_an_endpoint_that_the_list_calls_leaving_is_not_asked has such a response, and failed before.

--- a/src/acaciaramp/forwarding/leaving.py
+++ b/src/acaciaramp/forwarding/leaving.py
@@ -66,16 +66,19 @@
         self._entries = entries
         return staying
 
-    def record_word(self, endpoint: Endpoint) -> LeavingEndpoint | None:
+    def record_word(self, listed: Endpoint) -> LeavingEndpoint | None:
         """Record that an endpoint has said that it is leaving.
 
+        Args:
+            listed: The endpoint as the list has it now.
+
         Returns:
             What was known before; None if nothing was.
         """
         now_ms = self._clock.now_ms()
-        known = self._entries.get(endpoint.id)
+        known = self._entries.get(listed.id)
         since_ms = now_ms if known is None else known.since_ms
-        self._entries[endpoint.id] = LeavingEndpoint(endpoint, since_ms, now_ms)
+        self._entries[listed.id] = LeavingEndpoint(listed, since_ms, now_ms)
         return known
 
     def of_service(self, service: ServiceName) -> Iterator[LeavingEndpoint]:
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -365,7 +365,7 @@
         listed = self._by_id.get(endpoint.id)
         if listed is None or not is_same_start(listed, endpoint):
             return
-        known = self.leaving.record_word(endpoint)
+        known = self.leaving.record_word(listed)
         if known is not None and known.said_ms is not None:
             return
         logger.info(
--- a/tests/forwarding/test_return_watch.py
+++ b/tests/forwarding/test_return_watch.py
@@ -160,7 +160,10 @@
 def test_an_endpoint_that_the_list_calls_leaving_is_not_asked() -> None:
     watched = Watched()
     watched.answers['e-0'] = True
+    (earlier,) = watched.endpoints
     watched.list_as(is_leaving=True)
+    # A response to a request that was sent before the list changed.
+    watched.selector.record_leaving(earlier)
     watched.pass_s(30)
     assert not watched.asked
     watched.list_as(is_leaving=False)
