forwarding: Name the probes of leaving endpoints by the usual terms

ReturnWatch is LeavingProber now, its questions are probes, and what an endpoint says of itself is a statement, as with the limits that endpoints state.

--- a/src/acaciaramp/forwarding/leaving.py
+++ b/src/acaciaramp/forwarding/leaving.py
@@ -1,12 +1,12 @@
 """Endpoints that are leaving, by their own word or by the instance list.
 
-Answers a list that is late or cannot be read: the word of an endpoint counts whatever
-the list says. It belongs to one lifetime of the endpoint, and ends once
+Answers a list that is late or cannot be read: the statement of an endpoint counts
+whatever the list says. It belongs to one lifetime of the endpoint, and ends once
 
 - the list lacks the endpoint or has another start of it, or
-- the endpoint says that it serves requests (``return_watch``).
+- a probe shows that the endpoint serves requests (``leaving_prober``).
 
-The word of the list ends with the next list that says otherwise.
+What the list states holds until the next list.
 """
 
 from __future__ import annotations
@@ -30,13 +30,13 @@
     Attributes:
         endpoint: The endpoint.
         since_ms: When this instance learned that it is leaving.
-        said_ms: When the endpoint itself last said so; None if only the list
+        stated_ms: When the endpoint itself last stated it; None if only the list
             has.
     """
 
     endpoint: Endpoint
     since_ms: int
-    said_ms: int | None
+    stated_ms: int | None
 
 
 class LeavingEndpoints:
@@ -66,14 +66,14 @@
         self._entries = entries
         return staying
 
-    def record_word(self, listed: Endpoint) -> LeavingEndpoint | None:
-        """Record that an endpoint has said that it is leaving.
+    def record_statement(self, listed: Endpoint) -> LeavingEndpoint | None:
+        """Record the statement of an endpoint that it is leaving.
 
         Args:
             listed: The endpoint as the list has it now.
 
         Returns:
-            What was known before; None if nothing was.
+            Its earlier entry; None if it was not known to be leaving.
         """
         now_ms = self._clock.now_ms()
         known = self._entries.get(listed.id)
@@ -87,23 +87,23 @@
             if entry.endpoint.service == service:
                 yield entry
 
-    def doubted(self) -> list[LeavingEndpoint]:
-        """Return the endpoints that only their own word calls leaving."""
+    def self_reported(self) -> list[LeavingEndpoint]:
+        """Return the endpoints that are leaving by their own statement alone."""
         return [
             entry
             for entry in self._entries.values()
-            if entry.said_ms is not None and not entry.endpoint.is_leaving
+            if entry.stated_ms is not None and not entry.endpoint.is_leaving
         ]
 
     def end(self, entry: LeavingEndpoint) -> bool:
-        """End what an endpoint has said, as it does not hold any more.
+        """End the statement of an endpoint, as it does not hold any more.
 
         Args:
-            entry: The endpoint as ``doubted`` returned it.
+            entry: The endpoint as ``self_reported`` returned it.
 
         Returns:
-            Whether it is not leaving now: it has said nothing new meanwhile, and
-            the list does not call it leaving.
+            Whether the endpoint may be used: it has stated nothing since, and
+            the list has not changed what it states of it.
         """
         if self._entries.get(entry.endpoint.id) != entry:
             return False
@@ -115,11 +115,11 @@
         known = self._entries.get(listed.id)
         if known is not None and not is_same_start(known.endpoint, listed):
             known = None
-        said_ms = None if known is None else known.said_ms
-        if not listed.is_leaving and said_ms is None:
+        stated_ms = None if known is None else known.stated_ms
+        if not listed.is_leaving and stated_ms is None:
             return None
         since_ms = self._clock.now_ms() if known is None else known.since_ms
-        return LeavingEndpoint(listed, since_ms, said_ms)
+        return LeavingEndpoint(listed, since_ms, stated_ms)
 
 
 def is_same_start(first: Endpoint, second: Endpoint) -> bool:
--- a/src/acaciaramp/forwarding/messages.py
+++ b/src/acaciaramp/forwarding/messages.py
@@ -177,8 +177,8 @@
         """Return the parsed status and headers of an endpoint's response."""
         ...
 
-    def write_health_check(self, endpoint: Endpoint) -> RawHeaders:
-        """Return the headers of a question for the health of an endpoint."""
+    def write_health_probe(self, endpoint: Endpoint) -> RawHeaders:
+        """Return the headers of a health probe of an endpoint."""
         ...
 
     def is_serving(
@@ -187,9 +187,9 @@
         """Return whether an endpoint says that it serves requests.
 
         Args:
-            endpoint: The endpoint that was asked.
-            status: Status of its answer.
-            headers: Headers of its answer.
+            endpoint: The endpoint that was probed.
+            status: Status of the response.
+            headers: Headers of the response.
         """
         ...
 
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -360,13 +360,13 @@
         """Record that an endpoint has said in a response that it is leaving.
 
         A late response of an earlier lifetime, or of an endpoint that is not listed
-        any more, says nothing of the present one.
+        any more, is ignored.
         """
         listed = self._by_id.get(endpoint.id)
         if listed is None or not is_same_start(listed, endpoint):
             return
-        known = self.leaving.record_word(listed)
-        if known is not None and known.said_ms is not None:
+        known = self.leaving.record_statement(listed)
+        if known is not None and known.stated_ms is not None:
             return
         logger.info(
             'An endpoint says that it is leaving; sending it no new requests.',
@@ -381,10 +381,10 @@
             self._by_service.pop(endpoint.service)
 
     def record_return(self, entry: LeavingEndpoint) -> bool:
-        """Record that an endpoint serves requests after it has said it leaves.
+        """Record that an endpoint which has said that it is leaving serves again.
 
         Args:
-            entry: The endpoint as ``leaving.doubted`` returned it.
+            entry: The endpoint as ``leaving.self_reported`` returned it.
 
         Returns:
             Whether it gets requests from now on.
--- a/src/acaciaramp/metrics/names.py
+++ b/src/acaciaramp/metrics/names.py
@@ -38,8 +38,8 @@
         TUNNEL_OPENED: Tunnels through peers opened.
         TUNNEL_FAILED: Peers that opened no tunnel when they were asked.
         TUNNEL_REQUESTED: Tunnels that peers asked for, by ``TunnelOutcome``.
-        LEAVING_PROBED: Questions to endpoints that have said that they are
-            leaving, whether they serve again, by ``ProbeOutcome``.
+        LEAVING_PROBED: Health probes of endpoints that have said that they are
+            leaving, by ``ProbeOutcome``.
         LEVEL_CHANGED: Changes of the admission level of a service, by
             ``LevelMove``.
         CALLER_CLOSED: Connections of callers that were closed, or refused a
@@ -93,19 +93,19 @@
 
 
 class ProbeOutcome(enum.Enum):
-    """Reasons of ``LEAVING_PROBED``: what an endpoint has answered.
+    """Reasons of ``LEAVING_PROBED``: what a probe has shown of an endpoint.
 
     Attributes:
         SERVING: It serves requests again.
-        LEAVING: It is leaving, or it is too early to use it without asking.
-        FAILED: It has not answered.
-        UNASKED: It cannot be asked and is used again without an answer.
+        LEAVING: It is still leaving, or cannot be probed and is not used yet.
+        FAILED: It has not responded.
+        UNPROBED: It cannot be probed and is used again after a time.
     """
 
     SERVING = 'serving'
     LEAVING = 'leaving'
     FAILED = 'failed'
-    UNASKED = 'unasked'
+    UNPROBED = 'unprobed'
 
 
 class LevelMove(enum.Enum):
--- a/src/acaciaramp/platform/headers.py
+++ b/src/acaciaramp/platform/headers.py
@@ -162,8 +162,8 @@
             is_leaving=_is_leaving(status, lowered),
         )
 
-    def write_health_check(self, endpoint: Endpoint) -> RawHeaders:
-        """Return the headers of a question for the health of an endpoint."""
+    def write_health_probe(self, endpoint: Endpoint) -> RawHeaders:
+        """Return the headers of a health probe of an endpoint."""
         host = f'[{endpoint.host}]' if ':' in endpoint.host else endpoint.host
         return [
             (_HOST, f'{host}:{endpoint.port}'.encode()),
@@ -175,8 +175,8 @@
     ) -> bool:
         """Return whether an endpoint says that it serves requests.
 
-        Another endpoint may have been given its address; that one names its own
-        id, or says that the question was misdirected.
+        Another endpoint may have been given its address; it states its own id, or
+        that the probe was misdirected.
         """
         head = self.read_response(status, headers)
         named = _text(dict(head.headers), b'x-instance-id')
--- a/src/acaciaramp/roles/entry.py
+++ b/src/acaciaramp/roles/entry.py
@@ -25,8 +25,11 @@
 from acaciaramp.forwarding.endpoint_limits import EndpointLimits
 from acaciaramp.forwarding.forwarder import Forwarder
 from acaciaramp.forwarding.gateway import Gateway
+from acaciaramp.forwarding.leaving_prober import (
+    LeavingProber,
+    make_health_probe,
+)
 from acaciaramp.forwarding.protocol import TrafficLimitProtocol
-from acaciaramp.forwarding.return_watch import ReturnWatch, make_health_check
 from acaciaramp.forwarding.turns import TurnLifecycle
 from acaciaramp.ids import WorkspaceId
 from acaciaramp.limits.quota import Quota
@@ -120,9 +123,9 @@
         self._connections = ConnectionPool(
             self._paths.dialer, context.clock, self._max_connections
         )
-        self._returns = ReturnWatch(
+        self._leaving_prober = LeavingProber(
             self._selector,
-            make_health_check(
+            make_health_probe(
                 adapter.codec,
                 self._connections,
                 lambda: self._router.services,
@@ -200,7 +203,7 @@
         context.tasks.start_soon(self._follower.run)
         context.tasks.start_soon(self._run_ticks)
         context.tasks.start_soon(self._crashes.run)
-        context.tasks.start_soon(self._returns.run)
+        context.tasks.start_soon(self._leaving_prober.run)
         if self._overload is not None:
             context.tasks.start_soon(self._overload.run)
         self._paths.start()
--- a/tests/roles/test_entry.py
+++ b/tests/roles/test_entry.py
@@ -203,17 +203,17 @@
 
     Attributes:
         is_leaving: Whether it says so in each answer.
-        asked: Number of requests for its health.
+        probes: Number of its health probes.
     """
 
     def __init__(self) -> None:
         """Create the endpoint, which is leaving."""
         self.is_leaving = True
-        self.asked = 0
+        self.probes = 0
 
     def answer(self, request: ReceivedRequest) -> list[bytes | None]:
         """Answer a request."""
-        self.asked += request.head.startswith(b'GET /healthz')
+        self.probes += request.head.startswith(b'GET /healthz')
         line = 'server-leaving: 1\r\n' if self.is_leaving else ''
         return [response_to(request, b'whole', header_lines=line)]
 
@@ -246,7 +246,7 @@
                     b'whole'
                 ):
                     await anyio.sleep(0.1)
-                assert restarting.asked
+                assert restarting.probes
             background.cancel_scope.cancel()
 
     async def main() -> None:
