--- a/tests/forwarding/test_repeats.py
+++ b/tests/forwarding/test_repeats.py
@@ -79,7 +79,7 @@
     run(ORDER, scenario, *[lost] * ATTEMPTS)
 
 
-# Guards against the same, where the instance reaches endpoints through peers only.
+# Guards against an order that runs twice, as its connection runs through a peer.
 def test_such_a_request_is_sent_once_through_a_peer(network: Network) -> None:
     async def main() -> None:
         async with harness_with_a_peer(ORDER, dropped, dropped) as (
@@ -94,6 +94,7 @@
     anyio.run(main)
 
 
+# Guards against a request that is given up though no endpoint has run it.
 def test_such_a_request_goes_on_to_an_endpoint_that_has_not_run_it() -> None:
     async def scenario(harness: Harness, fakes: list[ScriptedEndpoint]) -> None:
         bodies = [(await harness.request(attempt)).body for attempt in 'abcd']
