forwarding: Keep what an endpoint has said while a list lacked it

By reading the change before the landing: ignored the statement of an endpoint that is leaving if the list lacked it at that moment. An older list that has it again, read by another instance, would then have sent requests to it.

Test: test_an_endpoint_that_is_gone_is_not_probed_until_it_is_listed, which failed before.

--- a/src/acaciaramp/forwarding/leaving.py
+++ b/src/acaciaramp/forwarding/leaving.py
@@ -50,6 +50,7 @@
         """
         self._clock = clock
         self._entries: dict[EndpointId, LeavingEndpoint] = {}
+        self._listed: frozenset[EndpointId] = frozenset()
 
     def replace_endpoints(
         self, endpoints: Collection[Endpoint]
@@ -64,21 +65,22 @@
             else:
                 entries[item.id] = entry
         self._entries = entries
+        self._listed = frozenset(listed.id for listed in endpoints)
         return staying
 
-    def record_statement(self, listed: Endpoint) -> LeavingEndpoint | None:
+    def record_statement(self, endpoint: Endpoint) -> LeavingEndpoint | None:
         """Record the statement of an endpoint that it is leaving.
 
         Args:
-            listed: The endpoint as the list has it now.
+            endpoint: The endpoint as the list has it now, or had it last.
 
         Returns:
             Its earlier entry; None if it was not known to be leaving.
         """
         now_ms = self._clock.now_ms()
-        known = self._entries.get(listed.id)
+        known = self._entries.get(endpoint.id)
         since_ms = now_ms if known is None else known.since_ms
-        self._entries[listed.id] = LeavingEndpoint(listed, since_ms, now_ms)
+        self._entries[endpoint.id] = LeavingEndpoint(endpoint, since_ms, now_ms)
         return known
 
     def of_service(self, service: ServiceName) -> Iterator[LeavingEndpoint]:
@@ -88,11 +90,13 @@
                 yield entry
 
     def self_reported(self) -> list[LeavingEndpoint]:
-        """Return the endpoints that are leaving by their own statement alone."""
+        """Return the endpoints that the list calls ready and that say otherwise."""
         return [
             entry
             for entry in self._entries.values()
-            if entry.stated_ms is not None and not entry.endpoint.is_leaving
+            if entry.stated_ms is not None
+            and not entry.endpoint.is_leaving
+            and entry.endpoint.id in self._listed
         ]
 
     def end(self, entry: LeavingEndpoint) -> bool:
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -359,13 +359,12 @@
     def record_leaving(self, endpoint: Endpoint) -> None:
         """Record that an endpoint has said in a response that it is leaving.
 
-        A late response of an earlier lifetime, or of an endpoint that is not listed
-        any more, is ignored.
+        A late response of an earlier lifetime is ignored.
         """
         listed = self._by_id.get(endpoint.id)
-        if listed is None or not is_same_start(listed, endpoint):
+        if listed is not None and not is_same_start(listed, endpoint):
             return
-        known = self.leaving.record_statement(listed)
+        known = self.leaving.record_statement(listed or endpoint)
         if known is not None and known.stated_ms is not None:
             return
         logger.info(
--- a/tests/forwarding/test_leaving_prober.py
+++ b/tests/forwarding/test_leaving_prober.py
@@ -194,8 +194,9 @@
     assert probed.usable == []
 
 
-# Guards against the return of an endpoint that is not listed any more.
-def test_an_endpoint_that_is_gone_is_not_probed() -> None:
+# Guards against requests to an endpoint that has said that it is leaving while a list
+# lacked it, once an older list has it again.
+def test_an_endpoint_that_is_gone_is_not_probed_until_it_is_listed() -> None:
     probed = Probed()
     probed.outcomes['e-0'] = True
     (gone,) = probed.endpoints
@@ -203,7 +204,10 @@
     probed.selector.record_leaving(gone)
     probed.pass_s(60)
     assert not probed.probes
+    probed.list_as()
     assert probed.usable == []
+    probed.pass_s(1)
+    assert probed.usable == ['e-0']
 
 
 def test_an_endpoint_that_leaves_once_more_gets_no_requests() -> None:
