--- a/src/acaciaramp/forwarding/call.py
+++ b/src/acaciaramp/forwarding/call.py
@@ -39,6 +39,8 @@
             it begins none that may be resumed, or it is not known.
         demand: Its rank while capacity is short; None without admission control.
         claimed: Endpoint whose capacity it has claimed and not used yet.
+        responded_ms: When the head of its response arrived, on the clock of the
+            process; None before.
     """
 
     inbound: InboundRequest
@@ -55,6 +57,7 @@
     expected_origin: StreamOrigin | None = None
     demand: Demand | None = None
     claimed: EndpointId | None = None
+    responded_ms: int | None = None
 
     @property
     def allowed_regions(self) -> frozenset[str] | None:
@@ -145,6 +148,16 @@
         """Whether it may be retried after an attempt with unknown outcome."""
         return self.route.is_repeatable and self.runs < self.route.attempts
 
+    def program_left_ms(self, now_ms: int) -> int | None:
+        """Return the time until its program is due, milliseconds.
+
+        Negative if the program is late; None if its caller states no time.
+        """
+        stated_ms = self.inbound.turn.program_left_ms
+        if stated_ms is None:
+            return None
+        return self.inbound.started_ms + stated_ms - now_ms
+
     @property
     def verdict(self) -> Verdict:
         """Whether an endpoint may have executed it, if it ends now."""
--- a/src/acaciaramp/forwarding/forwarder.py
+++ b/src/acaciaramp/forwarding/forwarder.py
@@ -131,6 +131,8 @@
             service=call.service,
             resumes=call.inbound.resumed,
             left_ms=call.deadline_ms - self._clock.now_ms(),
+            program_left_ms=call.program_left_ms(self._clock.now_ms()),
+            waited_ms=self._clock.now_ms() - call.inbound.started_ms,
             limit_per_s=self._limits.per_s(endpoint.id),
             **self._selector.explain(endpoint, call.endpoint_query),
         )
@@ -222,6 +224,7 @@
                         call, self._clock.now_ms() - sent_ms
                     )
                 conn.idle_ms = head.idle_ms or conn.idle_ms
+                call.responded_ms = self._clock.now_ms()
                 await relay.send(head, resp)
                 await resp.aclose()
         except TimeoutError:
--- a/src/acaciaramp/forwarding/gateway.py
+++ b/src/acaciaramp/forwarding/gateway.py
@@ -439,6 +439,10 @@
             workspace=call.workspace,
             status=relay.status,
             events=relay.events.events,
+            head_ms=None
+            if call.responded_ms is None
+            else call.responded_ms - call.inbound.started_ms,
+            program_left_ms=call.program_left_ms(self._clock.now_ms()),
             took_ms=took_ms,
         )
 
--- a/src/acaciaramp/forwarding/overload.py
+++ b/src/acaciaramp/forwarding/overload.py
@@ -224,6 +224,17 @@
         self._metrics.record_duration(Timer.QUEUE, waited_ms)
         wait_share = waited_ms / _objective_ms(call)
         if isinstance(taken, QueueRefusal):
+            logger.info(
+                'No endpoint had capacity for a request in time; refusing it.',
+                attempt=call.inbound.attempt,
+                program=call.inbound.turn.program,
+                service=call.service,
+                is_running=call.demand.is_running,
+                program_left_ms=call.program_left_ms(self._clock.now_ms()),
+                waited_ms=waited_ms,
+                queued=len(state.queue),
+                **_pressure_fields(self._pressure(call.service)),
+            )
             state.level.record_wait(
                 call.demand, max(wait_share, _NEW_WAIT_FRACTION)
             )
@@ -374,6 +385,16 @@
             self._record_change(call.service, change, pressure)
         if level.admits(demand) or _is_idle(pressure):
             return
+        logger.info(
+            'The admission level does not admit a new program; refusing it.',
+            attempt=call.inbound.attempt,
+            program=call.inbound.turn.program,
+            service=call.service,
+            priority=demand.priority,
+            percent=level.percent(demand.priority),
+            position=round(demand.position, 3),
+            **_pressure_fields(pressure),
+        )
         raise self._refusal(
             call,
             ErrorCode.OVERLOADED,
@@ -411,10 +432,7 @@
             load=change.load.value,
             wait_share=round(change.wait_share, 2),
             queued=len(self._state(service).queue),
-            running=pressure.running,
-            waiting=pressure.waiting,
-            slots=pressure.slots,
-            known_share=round(pressure.known_share, 2),
+            **_pressure_fields(pressure),
         )
 
 
@@ -423,6 +441,17 @@
     return call.route.objective_ms or call.route.timeout_ms
 
 
+def _pressure_fields(pressure: Pressure) -> dict[str, float]:
+    """Return the load of a service as log fields."""
+    return {
+        'running': round(pressure.running, 1),
+        'waiting': round(pressure.waiting, 1),
+        'slots': pressure.slots,
+        'known_share': round(pressure.known_share, 2),
+        'load_age_ms': pressure.age_ms,
+    }
+
+
 def _is_idle(pressure: Pressure) -> bool:
     """Return whether under half of the slots are known to be taken."""
     taken = pressure.running + pressure.waiting
--- a/src/acaciaramp/forwarding/selector.py
+++ b/src/acaciaramp/forwarding/selector.py
@@ -309,7 +309,7 @@
             'zone': endpoint.availability_zone,
             'in_flight': state.in_flight,
             'foreign': state.foreign,
-            'load_age_ms': self._clock.now_ms() - state.reported_ms,
+            'load_age_ms': state.report_age_ms(self._clock.now_ms()),
             'is_warm': warm_id == endpoint.id,
         }
 
--- a/src/acaciaramp/scheduling/load_board.py
+++ b/src/acaciaramp/scheduling/load_board.py
@@ -26,6 +26,8 @@
 # The weight of a report falls linearly to zero at this age. Within this time a
 # full queue of an endpoint is drained, so that an older report says little.
 REPORT_MAX_AGE_MS = 2_000
+# Stands for the time of a report that has never come.
+_NEVER_MS = -REPORT_MAX_AGE_MS
 # Figures outside these ranges are errors of the endpoint or of the peer.
 _MAX_FIGURE = 100_000
 _MIN_DURATION_PERCENT = 10
@@ -118,7 +120,8 @@
         mean_duration_percent: Mean of what it has stated for a longer time.
         context_tokens: Cache memory that the requests of this instance take
             there.
-        reported_ms: When the last report was observed.
+        reported_ms: When the last report was observed; if there is none yet,
+            long before any time of the clock.
     """
 
     in_flight: int = 0
@@ -130,7 +133,7 @@
     duration_percent: float | None = None
     mean_duration_percent: float = USUAL_DURATION_PERCENT
     context_tokens: int = 0
-    reported_ms: int = -REPORT_MAX_AGE_MS
+    reported_ms: int = _NEVER_MS
 
     @property
     def busy(self) -> int:
@@ -139,6 +142,12 @@
             self.in_flight, self.running + self.waiting + self.sent_since
         )
 
+    def report_age_ms(self, now_ms: int) -> int | None:
+        """Return the age of the last report, milliseconds; None without one."""
+        if self.reported_ms == _NEVER_MS:
+            return None
+        return now_ms - self.reported_ms
+
     def weight(self, now_ms: int) -> float:
         """Return the weight of the last report, from 1 (new) to 0 (too old)."""
         return max(0, 1 - (now_ms - self.reported_ms) / REPORT_MAX_AGE_MS)
@@ -335,6 +344,8 @@
             waiting=scale * sum(load.weight * load.waiting for load in loads),
             slots=slots,
             known_share=len(known) / len(endpoint_ids),
+            age_ms=now_ms
+            - sum(state.reported_ms for state in known) // len(known),
         )
 
     def _with_duration(self, report: LoadReport) -> LoadReport:
--- a/src/acaciaramp/scheduling/pressure.py
+++ b/src/acaciaramp/scheduling/pressure.py
@@ -14,12 +14,14 @@
         slots: Number of requests that they can execute at once.
         known_share: Share of the endpoints whose load is known, 0 to 1; the
             other figures are of these only.
+        age_ms: Mean age of their reports, milliseconds.
     """
 
     running: float = 0
     waiting: float = 0
     slots: int = 0
     known_share: float = 0
+    age_ms: int = 0
 
     @property
     def is_known(self) -> bool:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,6 +9,7 @@
 from acaciaramp.coordination.messages import Endpoint, Node
 from acaciaramp.documents.model import Document
 from acaciaramp.documents.registry import Registry, key_hash
+from acaciaramp.forwarding.call import Call
 from acaciaramp.forwarding.messages import InboundRequest, TurnParams
 from acaciaramp.ids import (
     AvailabilityZone,
@@ -309,3 +310,16 @@
         'headers': [(b'host', b'example.test')],
     }
     return InboundRequest(**(fields | overrides))
+
+
+def call(**overrides: Any) -> Call:
+    """Return a call on a route of the model service."""
+    fields: dict[str, Any] = {
+        'inbound': inbound(),
+        'route': route(),
+        'service': MODEL,
+        'services': {},
+        'workspace': None,
+        'deadline_ms': 1_000,
+    }
+    return Call(**(fields | overrides))
