scheduling: Judge the load of a service by how sure the known endpoints are of it

Callers of a service whose endpoints were all full were admitted more and more: an entry that knew under half of the endpoints took what it knew for nothing, and an unknown load raises the level by 10 a step.

The share that is known says little: ten endpoints of a thousand tell as much as ten of thirty. The load is now an estimate with bounds, which follow from the number of known endpoints, their spread and the age of their reports, and of which each leaves out the one endpoint that would change it most. A level falls if the lower bound is too high, rises faster if the upper one is low, and does not rise while the few that are known are full. The same estimate tells whether a service is idle.

The test of the sum compares its figures one by one, as the struct has more fields.

--- a/src/acaciaramp/forwarding/overload.py
+++ b/src/acaciaramp/forwarding/overload.py
@@ -448,11 +448,12 @@
         'waiting': round(pressure.waiting, 1),
         'slots': pressure.slots,
         'known_share': round(pressure.known_share, 2),
+        'taken_at_least': round(pressure.least_taken_share, 2),
+        'taken_at_most': round(pressure.most_taken_share, 2),
         'load_age_ms': pressure.age_ms,
     }
 
 
 def _is_idle(pressure: Pressure) -> bool:
-    """Return whether under half of the slots are known to be taken."""
-    taken = pressure.running + pressure.waiting
-    return pressure.is_known and taken < _IDLE_SHARE * pressure.slots
+    """Return whether it is sure that under half of the slots are taken."""
+    return pressure.is_known and pressure.most_taken_share < _IDLE_SHARE
--- a/src/acaciaramp/scheduling/admission_level.py
+++ b/src/acaciaramp/scheduling/admission_level.py
@@ -68,10 +68,11 @@
 
     Attributes:
         HIGH: Work piles up; the level is lowered.
-        BUSY: The slots are taken, but nothing piles up; the level stays.
+        BUSY: The slots are taken, but it is not sure that work piles up; the
+            level stays.
         NORMAL: The level may rise.
-        FREE: A quarter of the slots is free.
-        UNKNOWN: There is no sign of an overload and too little is known.
+        FREE: A quarter of the slots is free, that is sure.
+        UNKNOWN: Too little is known, and none of it is a sign of an overload.
     """
 
     HIGH = 'high'
@@ -191,7 +192,7 @@
         # What was seen long before a pause says nothing about the load now.
         if steps > _MAX_SIGNAL_STEPS:
             self._forget_signals(0)
-        taken_share = _taken_share(pressure)
+        taken_share = pressure.taken_share
         self._is_draining = taken_share < self._taken_share - _DRAINING
         self._taken_share = taken_share
         moves = [
@@ -251,10 +252,9 @@
         wait_share = self._wait_share(priority)
         if wait_share > _HIGH_WAIT_SHARE:
             return Load.HIGH
-        taken_share = self._taken_share
         is_piling_up = self._is_failing
         if pressure.is_known:
-            is_piling_up = taken_share > _HIGH_TAKEN_SHARE
+            is_piling_up = pressure.least_taken_share > _HIGH_TAKEN_SHARE
         if is_piling_up and self._is_draining:
             return Load.BUSY
         if is_piling_up:
@@ -264,12 +264,15 @@
                 if other > priority
             )
             return Load.HIGH if is_lowest else Load.BUSY
+        is_full = pressure.taken_share >= _BUSY_SHARE
+        if is_full and (priority == max(self._mix) or not pressure.is_known):
+            return Load.BUSY
         if not pressure.is_known:
             return Load.UNKNOWN
-        is_full = taken_share >= _BUSY_SHARE and priority == max(self._mix)
-        if is_full or wait_share > _LOW_WAIT_SHARE:
+        if wait_share > _LOW_WAIT_SHARE:
             return Load.BUSY
-        return Load.FREE if taken_share < _FREE_SHARE else Load.NORMAL
+        is_free = pressure.most_taken_share < _FREE_SHARE
+        return Load.FREE if is_free else Load.NORMAL
 
     def _next_percent(self, priority: int, load: Load, steps: int) -> int:
         """Return the level after some steps, of which only the last was high."""
@@ -283,10 +286,3 @@
             Load.UNKNOWN: _RAISE_UNKNOWN_PERCENT,
         }
         return min(FULL_PERCENT, percent + steps * raised[load])
-
-
-def _taken_share(pressure: Pressure) -> float:
-    """Return the known requests for each known slot."""
-    if not pressure.slots:
-        return 0
-    return (pressure.running + pressure.waiting) / pressure.slots
--- a/src/acaciaramp/scheduling/load_board.py
+++ b/src/acaciaramp/scheduling/load_board.py
@@ -15,7 +15,11 @@
 
 from acaciaramp.ids import EndpointId
 from acaciaramp.metrics.names import BadInput, Counter
-from acaciaramp.scheduling.pressure import Pressure
+from acaciaramp.scheduling.pressure import (
+    EndpointSample,
+    Pressure,
+    pressure_of,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -95,15 +99,6 @@
     started_ms: int
 
 
-class _BoundedLoad(NamedTuple):
-    """What one endpoint adds to the load of a service."""
-
-    weight: float
-    running: int
-    waiting: int
-    slots: int
-
-
 class EndpointState(msgspec.Struct):
     """What is known of one endpoint; only the board changes it.
 
@@ -156,12 +151,12 @@
         """Return whether a report that is not too old tells its load."""
         return self.slots > 0 and self.weight(now_ms) > 0
 
-    def bounded_load(self, now_ms: int, most_slots: int) -> _BoundedLoad:
-        """Return its load for a sum over endpoints."""
+    def sample(self, now_ms: int, most_slots: int) -> EndpointSample:
+        """Return its bounded load for the load of a group."""
         slots = min(self.slots, most_slots)
         running = min(self.busy, slots)
         queued = min(self.busy - running, _MAX_WAITING_PER_SLOT * slots)
-        return _BoundedLoad(self.weight(now_ms), running, queued, slots)
+        return EndpointSample(self.weight(now_ms), running, queued, slots)
 
 
 class LoadBoard:
@@ -322,30 +317,21 @@
         return changed
 
     def pressure(self, endpoint_ids: Collection[str]) -> Pressure:
-        """Return the load of a group of endpoints.
-
-        It is the mean load of each slot, newer reports weighing more, times the
-        slots of all endpoints that are known.
-        """
+        """Return the load of a group of endpoints as the known ones tell it."""
         now_ms = self._clock.now_ms()
         states = filter(None, map(self._states.get, endpoint_ids))
         known = [state for state in states if state.is_known(now_ms)]
         if not known:
             return Pressure()
         median = statistics.median_low([state.slots for state in known])
-        loads = [
-            state.bounded_load(now_ms, _MAX_SLOTS_RATIO * median)
-            for state in known
-        ]
-        slots = sum(load.slots for load in loads)
-        scale = slots / sum(load.weight * load.slots for load in loads)
-        return Pressure(
-            running=scale * sum(load.weight * load.running for load in loads),
-            waiting=scale * sum(load.weight * load.waiting for load in loads),
-            slots=slots,
-            known_share=len(known) / len(endpoint_ids),
-            age_ms=now_ms
-            - sum(state.reported_ms for state in known) // len(known),
+        age_ms = sum(now_ms - state.reported_ms for state in known)
+        return pressure_of(
+            [
+                state.sample(now_ms, _MAX_SLOTS_RATIO * median)
+                for state in known
+            ],
+            len(endpoint_ids),
+            age_ms // len(known),
         )
 
     def _with_duration(self, report: LoadReport) -> LoadReport:
--- a/src/acaciaramp/scheduling/pressure.py
+++ b/src/acaciaramp/scheduling/pressure.py
@@ -1,32 +1,105 @@
-"""Load of the endpoints of one service, summed over those whose load is known."""
+"""Load of the endpoints of one service, as a sample of them tells it.
+
+An instance hears some of the endpoints only: those that it sent requests to, or that
+others have told it of. What these say about all of them depends on how many they are,
+how much they differ and how old their reports are; one of them may be faulty.
+"""
 
 from __future__ import annotations
 
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+# One endpoint may be faulty, and one more could be the exception.
+_LEAST_SAMPLE = 3
+# Of a group of four, two are enough.
+_SMALL_GROUP_SHARE = 0.5
+# Spread of the load that is assumed before there is a sample, in requests for each
+# slot. It weighs as much as one endpoint, so that few endpoints which happen to be
+# equal are not taken for certainty.
+_ASSUMED_SPREAD = 0.5
+
+
+class EndpointSample(NamedTuple):
+    """Load of one endpoint of a sample.
+
+    Attributes:
+        weight: Weight of its report, over 0 (old) to 1 (new).
+        running: Number of requests that it is executing.
+        waiting: Number of requests in its queue.
+        slots: Number of requests that it can execute at once; at least 1.
+    """
+
+    weight: float
+    running: int
+    waiting: int
+    slots: int
+
+    @property
+    def taken_share(self) -> float:
+        """Requests for each of its slots."""
+        return (self.running + self.waiting) / self.slots
+
 
 class Pressure(msgspec.Struct, frozen=True, kw_only=True):
     """Load of a group of endpoints.
 
     Attributes:
-        running: Number of requests that they are executing.
+        running: Number of requests that the known ones are executing.
         waiting: Number of requests in their queues.
         slots: Number of requests that they can execute at once.
         known_share: Share of the endpoints whose load is known, 0 to 1; the
             other figures are of these only.
+        known: Number of endpoints whose load is known.
         age_ms: Mean age of their reports, milliseconds.
+        over_estimate: By how much the requests for each slot of all endpoints
+            may be fewer than those of the known ones.
+        under_estimate: By how much they may be more.
     """
 
     running: float = 0
     waiting: float = 0
     slots: int = 0
     known_share: float = 0
+    known: int = 0
     age_ms: int = 0
+    over_estimate: float = 0
+    under_estimate: float = 0
 
     @property
     def is_known(self) -> bool:
-        """Whether the load of at least half of the endpoints is known."""
-        return self.known_share >= _LEAST_KNOWN_SHARE and self.slots > 0
+        """Whether the known endpoints tell the load of all of them.
+
+        That does not depend on their share: ten endpoints of a thousand tell
+        about as much as ten of thirty.
+        """
+        least = _LEAST_SAMPLE
+        if self.known_share >= _SMALL_GROUP_SHARE:
+            least -= 1
+        is_sample = self.known_share >= 1 or self.known >= least
+        return is_sample and self.slots > 0
+
+    @property
+    def taken_share(self) -> float:
+        """Requests for each slot of the known endpoints; 0 without any."""
+        if not self.slots:
+            return 0
+        return (self.running + self.waiting) / self.slots
+
+    @property
+    def least_taken_share(self) -> float:
+        """Requests for each slot of all endpoints, at the least."""
+        return self.taken_share - self.over_estimate
+
+    @property
+    def most_taken_share(self) -> float:
+        """Requests for each slot of all endpoints, at the most."""
+        return self.taken_share + self.under_estimate
 
     @property
     def waiting_per_slot(self) -> float:
@@ -34,6 +107,59 @@
         return self.waiting / self.slots if self.slots else 0
 
 
-# Below this share, a sum says more about which endpoints were heard than about
-# the load of the service.
-_LEAST_KNOWN_SHARE = 0.5
+def pressure_of(
+    samples: Sequence[EndpointSample], listed: int, age_ms: int
+) -> Pressure:
+    """Return the load of a group of endpoints of which some are known.
+
+    It is the mean load of each slot, newer reports weighing more, times the
+    slots of the known ones. The bounds leave out the endpoint that would change
+    them most, and add one standard error.
+
+    Args:
+        samples: The known endpoints; at least one.
+        listed: Number of all endpoints.
+        age_ms: Mean age of the reports, milliseconds.
+    """
+    slots = sum(item.slots for item in samples)
+    total = sum(item.weight * item.slots for item in samples)
+    scale = slots / total
+    running = scale * sum(item.weight * item.running for item in samples)
+    waiting = scale * sum(item.weight * item.waiting for item in samples)
+    mean = (running + waiting) / slots
+    by_load = sorted(samples, key=lambda item: item.taken_share)
+    error = _standard_error(samples, mean, listed)
+    return Pressure(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        known_share=len(samples) / listed,
+        known=len(samples),
+        age_ms=age_ms,
+        over_estimate=mean - _mean(by_load[:-1] or by_load) + error,
+        under_estimate=_mean(by_load[1:] or by_load) - mean + error,
+    )
+
+
+def _mean(samples: Sequence[EndpointSample]) -> float:
+    """Return the requests for each slot, newer reports weighing more."""
+    slots = sum(item.weight * item.slots for item in samples)
+    taken = sum(item.weight * (item.running + item.waiting) for item in samples)
+    return taken / slots
+
+
+def _standard_error(
+    samples: Sequence[EndpointSample], mean: float, listed: int
+) -> float:
+    """Return the standard error of the mean load of a slot; 0 if all are known.
+
+    Reports of unequal weight count as the number of equal ones that would be as
+    sure (Kish's effective sample size).
+    """
+    known = len(samples)
+    squares = sum((item.taken_share - mean) ** 2 for item in samples)
+    variance = (_ASSUMED_SPREAD**2 + squares) / known
+    total = sum(item.weight for item in samples)
+    effective = total**2 / sum(item.weight**2 for item in samples)
+    unknown_share = max(0, 1 - known / listed)
+    return math.sqrt(variance / effective * unknown_share)
--- a/tests/scheduling/test_load_board.py
+++ b/tests/scheduling/test_load_board.py
@@ -185,9 +185,9 @@
         board.record(report(name, running=8, waiting=2))
     board.record_start('e-0')
     pressure = board.pressure(NAMES)
-    assert pressure == Pressure(
-        running=48, waiting=13, slots=48, known_share=0.75
-    )
+    assert (pressure.running, pressure.waiting) == (48, 13)
+    assert (pressure.slots, pressure.known_share) == (48, 0.75)
+    assert (pressure.known, pressure.age_ms) == (6, 0)
     assert pressure.is_known
 
 
