forwarding: Exchange loads through one entry of each zone, and only under pressure

Each entry now pushes to the exchanging entry of its zone, which passes on what it gets: two hops, and messages that grow with the entries. Only news of services is sent of which half of the known slots are taken. The relays go to the same entries each time, so that few links are opened.

Tests: news reach a zone within two pushes (500 ms; it was one, 250 ms) and all zones within a second as before. A zone of 20 sends at most two messages for each push of an entry, nothing is sent while half of the known slots are free, own requests do not come back. The test of bytes uses loads under pressure, as nothing would be sent otherwise: 950 bytes/s an entry, 5,211 the busiest, bound 10,000 as before. The test with a silent peer counts the messages of all senders to it.

--- a/src/acaciaramp/forwarding/load_exchange.py
+++ b/src/acaciaramp/forwarding/load_exchange.py
@@ -1,16 +1,19 @@
 """Exchange of the load of endpoints between entry instances.
 
 Answers the load of many instances of which each hears an endpoint rarely. Those
-of one zone push what they observe to each other. One of each zone, that with the
-lowest address, exchanges digests with those of the other zones, since traffic
-between zones is expensive, and passes on what it gets.
-
-Messages are not answered, not repeated, and sent beside the requests: what is lost
-is followed by newer news.
+of one zone push what they observe to one of them, that with the lowest address. It
+passes on what it gets, and exchanges digests with those of the other zones, since
+traffic between zones is expensive. So the messages of a zone grow with its
+instances, and not with their square.
+
+News is sent of services only half of whose slots are taken: others have free slots at
+any endpoint. Messages are not answered, not repeated, and sent beside the requests:
+what is lost is followed by newer news.
 """
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -39,9 +42,11 @@
     from acaciaramp.clock import Clock
     from acaciaramp.coordination.messages import Node, View
     from acaciaramp.forwarding.selector import EndpointSelector
+    from acaciaramp.ids import EndpointId, ServiceName
     from acaciaramp.metrics.client import Metrics
     from acaciaramp.peering.links import Links
     from acaciaramp.peering.server import Handlers
+    from acaciaramp.scheduling.load_board import LoadReport, RequestStart
 
 logger = get_logger('loads')
 
@@ -51,14 +56,12 @@
 # push at once.
 _MIN_PUSH_MS = 150
 _MAX_PUSH_MS = 250
-_MAX_PEERS = 16
-# Bytes of one push to all its peers, so that a busy instance sends up to 8 KB/s; it
-# sends larger news to fewer peers.
-_MAX_PUSH_BYTES = 1_200
+# Share of the slots of a service that are taken from which its load is exchanged.
+_PRESSED_SHARE = 0.5
 # Bytes between zones are expensive.
 _DIGEST_PERIOD_MS = 500
-# News of other zones go to so many peers, which pass them on: to send them to a
-# zone of 17 instances takes one of them over 10 KB/s.
+# News goes to so many peers, which pass it on: to send it to a zone of 17 instances
+# takes one of them over 10 KB/s.
 _RELAY_HEADS = 4
 # Pauses after messages that failed. A peer of an earlier build ignores or refuses
 # the channel.
@@ -119,6 +122,7 @@
         self._peers: dict[InstanceId, _Peer] = {}
         self._digest = NewsBatch()
         self._relays = NewsBatch()
+        self._origin = zlib.crc32(node.instance.encode())
         self._next_digest_ms = clock.now_ms()
         self._was_exchanging = False
 
@@ -156,19 +160,19 @@
 
     def push(self) -> None:
         """Send what is new, without waiting for it to arrive."""
-        board = self._selector.board
-        own = NewsBatch()
-        reports, starts = board.take_news(), board.take_starts()
-        own.add(reports, starts)
+        reports, starts = self._take_own()
         near = self._usable(self._zone_peers())
-        exchanges = self._is_exchanging(near)
-        if own:
-            self._push_own(own, near)
-        if self._relays:
-            self._push_relays(near)
-        if exchanges:
+        if self._is_exchanging(near):
             self._digest.add(reports, starts)
+            self._relays.add(reports, starts)
             self._push_digest()
+        elif reports or starts:
+            own = NewsBatch()
+            own.add(reports, starts)
+            news = own.take(NewsKind.ZONE, self._clock.now_ms())
+            self._send_all([_preferred(near)], encode_news(news))
+        if self._relays:
+            self._push_relays(near)
 
     async def handle(self, body: bytes) -> bytes:
         """Record news from a peer.
@@ -192,31 +196,49 @@
             if find(start.endpoint) is not None
         ]
         for start in starts:
-            board.record_foreign_start(start)
-        if news.kind is NewsKind.DIGEST:
-            self._relays.add(reports, starts)
-        elif news.kind is NewsKind.RELAY:
+            if start.origin != self._origin:
+                board.record_foreign_start(start)
+        if news.kind is NewsKind.RELAY:
             self._pass_on(news)
-        elif self._was_exchanging:
+        else:
+            self._relays.add(reports, starts)
+        if news.kind is NewsKind.ZONE and self._was_exchanging:
             self._digest.add(reports, starts)
         return b''
 
-    def _push_own(self, own: NewsBatch, near: Sequence[_Peer]) -> None:
-        """Push own observations to some peers and to the exchanging one."""
-        if not near:
-            return
-        body = encode_news(own.take(NewsKind.ZONE, self._clock.now_ms()))
-        affordable = max(1, _MAX_PUSH_BYTES // len(body))
-        targets = self._rng.sample(near, min(len(near), _MAX_PEERS, affordable))
-        exchanging = _preferred(near)
-        if exchanging not in targets:
-            targets[0] = exchanging
-        self._send_all(targets, body)
+    def _take_own(self) -> tuple[list[LoadReport], list[RequestStart]]:
+        """Return what is new of services that are under pressure."""
+        selector, board = self._selector, self._selector.board
+        reports, starts = board.take_news(), board.take_starts()
+        is_pressed: dict[ServiceName, bool] = {}
+
+        def is_news(endpoint_id: EndpointId) -> bool:
+            endpoint = selector.find(endpoint_id)
+            if endpoint is None:
+                return False
+            service = endpoint.service
+            if service not in is_pressed:
+                ids = [item.id for item in selector.staying(service)]
+                taken = board.pressure(ids).taken_share
+                is_pressed[service] = taken >= _PRESSED_SHARE
+            return is_pressed[service]
+
+        return (
+            [report for report in reports if is_news(report.endpoint)],
+            [
+                start._replace(origin=self._origin)
+                for start in starts
+                if is_news(start.endpoint)
+            ],
+        )
 
     def _push_relays(self, near: Sequence[_Peer]) -> None:
-        """Push news of other zones to some peers, which pass them on."""
+        """Push news to some peers, which pass it on.
+
+        They are the same ones each time, so that few links are opened.
+        """
         news = self._relays.take(NewsKind.RELAY, self._clock.now_ms())
-        peers = self._rng.sample(near, len(near))
+        peers = sorted(near, key=lambda peer: peer.instance)
         for number, head in enumerate(peers[:_RELAY_HEADS]):
             followers = peers[number + _RELAY_HEADS :: _RELAY_HEADS]
             names = tuple(peer.instance for peer in followers)
--- a/src/acaciaramp/forwarding/load_messages.py
+++ b/src/acaciaramp/forwarding/load_messages.py
@@ -28,10 +28,10 @@
     """What a receiver does with news.
 
     Attributes:
-        ZONE: Observations of an instance of the same zone. The instance that
-            exchanges digests adds them to that of its zone.
+        ZONE: Observations of an instance of the same zone, which the receiver
+            passes on in this one and, in digests, to the others.
         DIGEST: Observations of another zone, which are passed on in this one.
-        RELAY: Observations of another zone, from an instance of this one.
+        RELAY: Observations of several instances, from one of this zone.
     """
 
     ZONE = 0
@@ -65,10 +65,13 @@
     Attributes:
         endpoint: Id of the endpoint.
         age_ms: Milliseconds since it was sent.
+        origin: Number of the instance that sent it; 0 from an instance that
+            sends none.
     """
 
     endpoint: EndpointId
     age_ms: _Age
+    origin: int = 0
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -156,7 +159,9 @@
                 for report in newest[:MAX_REPORTS]
             ),
             tuple(
-                WireStart(start.endpoint, now_ms - start.started_ms)
+                WireStart(
+                    start.endpoint, now_ms - start.started_ms, start.origin
+                )
                 for start in self._starts
             ),
         )
@@ -183,6 +188,6 @@
 def starts_in(news: LoadNews, now_ms: int) -> list[RequestStart]:
     """Return the starts of a message, on the clock of this process."""
     return [
-        RequestStart(wire.endpoint, now_ms - wire.age_ms)
+        RequestStart(wire.endpoint, now_ms - wire.age_ms, wire.origin)
         for wire in news.starts
     ]
--- a/src/acaciaramp/scheduling/load_board.py
+++ b/src/acaciaramp/scheduling/load_board.py
@@ -93,10 +93,13 @@
     Attributes:
         endpoint: Id of the endpoint.
         started_ms: When it was sent, on the clock of this process.
+        origin: Number of the instance that sent it, as the exchange of loads
+            assigns it; 0 for none.
     """
 
     endpoint: EndpointId
     started_ms: int
+    origin: int = 0
 
 
 class EndpointState(msgspec.Struct):
