--- a/src/acaciaramp/forwarding/overload.py
+++ b/src/acaciaramp/forwarding/overload.py
@@ -60,7 +60,8 @@
 # Weight of a refused wait in the level, as a share of the objective.
 _MAX_WAIT_SHARE = 1.0
 _MAX_SEEN_PROGRAMS = 4_096
-# The sum over 48 endpoints takes about 30 us, and each request needs it twice.
+# The sum over 48 endpoints takes about as long as choosing one of them, and each
+# request needs it twice.
 _PRESSURE_MS = 5
 # Load reports fade without an event that would wake the waiters.
 _WAKE_INTERVAL_MS = 25
--- a/tests/forwarding/test_service_load.py
+++ b/tests/forwarding/test_service_load.py
@@ -59,3 +59,39 @@
     assert not load.has_capacity(item, claimed=1)
     clock.advance(REPORT_MAX_AGE_MS)
     assert load.has_capacity(item, claimed=3)
+
+
+def test_an_endpoint_without_a_report_is_not_free_while_the_others_are_full() -> (
+    None
+):
+    """Guards against queues at endpoints that no entry has heard of lately."""
+    clock = ManualClock()
+    load, selector = make_load(clock, 'a', 'b', 'c', 'd', 'e', 'f')
+    *heard, silent, mute, other = selector.staying()
+    for item in heard:
+        selector.record_load(item, EndpointLoad(4, 3, 4))
+    assert load.has_capacity(silent, claimed=0)
+    assert not load.has_capacity(silent, claimed=1)
+    selector.record_start(silent, '')
+    assert not load.has_capacity(silent, claimed=0)
+    selector.record_start(mute, '')
+    assert not load.has_capacity(other, claimed=0)
+    clock.advance(25)
+    selector.record_load(silent, EndpointLoad(1, 0, 4))
+    assert load.has_capacity(silent, claimed=0)
+    assert load.has_capacity(other, claimed=0)
+
+
+def test_an_endpoint_without_a_report_is_free_while_others_have_free_slots() -> (
+    None
+):
+    """Guards against requests that wait while there is room."""
+    clock = ManualClock()
+    load, selector = make_load(clock, 'a', 'b', 'c', 'd', 'e')
+    *heard, silent, _ = selector.staying()
+    for item in heard:
+        selector.record_load(item, EndpointLoad(3, 0, 4))
+    selector.record_start(silent, '')
+    assert load.has_capacity(silent, claimed=2)
+    clock.advance(REPORT_MAX_AGE_MS)
+    assert load.has_capacity(silent, claimed=3)
