replication: Await votes for a random time, so that two losers do not campaign together

A candidate awaited a majority or the replies of all voters. The one that was down never replied, so that a lost campaign lasted for the timeout of a request, 500 ms, and the timer for the next one, 300 to 450 ms from the start of the last, had expired by then. Two candidates that had refused each other campaigned together again, every 500 ms.

Votes are awaited for a random election timeout now, so that the next campaigns differ by up to 150 ms. A lost election is logged with its term.

--- a/src/acaciaramp/replication/election.py
+++ b/src/acaciaramp/replication/election.py
@@ -10,6 +10,7 @@
 from acaciaramp.replication import messages as msgs
 from acaciaramp.replication.errors import PeerError
 from acaciaramp.replication.state import Role
+from acaciaramp.util.logs import get_logger
 
 if TYPE_CHECKING:
     import random
@@ -18,6 +19,8 @@
     from acaciaramp.replication.requests import Send
     from acaciaramp.replication.state import ReplicaState
 
+logger = get_logger('replication')
+
 
 class Election:
     """Campaigns for leadership and replies to the vote requests of others."""
@@ -54,8 +57,7 @@
         That is when it is a voter and its election timer has expired or
         ``campaign_now`` was called.
         """
-        timing = self._state.timing
-        limit_ms = timing.election_ms + self._rng.randint(0, timing.spread_ms)
+        limit_ms = self._draw_limit_ms()
         while True:
             await self._wait_for_timer(limit_ms)
             if self._state.is_voter:
@@ -83,6 +85,11 @@
             return False
         if not is_won:
             state.role = Role.FOLLOWER
+            logger.info(
+                'An election was lost; campaigning again after a random time.',
+                member=state.me.instance,
+                term=term,
+            )
         return is_won
 
     async def on_vote(self, req: msgs.VoteRequest) -> msgs.VoteReply:
@@ -105,6 +112,11 @@
         await state.store.sync()
         return self._reply(is_granted=is_granted and state.term == req.term)
 
+    def _draw_limit_ms(self) -> int:
+        """Return a random time without a leader after which to campaign."""
+        timing = self._state.timing
+        return timing.election_ms + self._rng.randint(0, timing.spread_ms)
+
     async def _wins_pre_vote(self) -> bool:
         """Return whether a pre-vote succeeds without contact to a leader."""
         contact_ms = self._state.leader_contact_ms
@@ -148,6 +160,22 @@
             is_handover=is_handover,
         )
         granted = {state.me}
+        # The timer began with the campaign. Without a limit that is as random, two
+        # candidates that refuse each other would both wait for the reply of a
+        # voter that is down, for the same time, and campaign together again.
+        timer = state.clock.timeout(self._draw_limit_ms())
+        with contextlib.suppress(TimeoutError), timer:
+            await self._request_votes(req, granted, members)
+        return len(granted) >= members.majority
+
+    async def _request_votes(
+        self,
+        req: msgs.VoteRequest,
+        granted: set[Member],
+        members: Members,
+    ) -> None:
+        """Request all votes until a majority is granted or each is answered."""
+        state = self._state
         async with anyio.create_task_group() as tasks:
             for voter in members.voters:
                 if voter == state.me:
@@ -160,7 +188,6 @@
                     members,
                     tasks.cancel_scope,
                 )
-        return len(granted) >= members.majority
 
     async def _request_vote(
         self,
