--- a/tests/forwarding/test_load_exchange.py
+++ b/tests/forwarding/test_load_exchange.py
@@ -509,6 +509,33 @@
     assert board.load_of('unlisted').slots == 0
 
 
+# News with a report, a start and an instance, as c2299a7 encodes it.
+EARLIER_NEWS = bytes.fromhex(
+    '9501009196a3652d3102000464329192a3652d311491a3612d31'
+)
+
+
+class EarlierStart(msgspec.Struct, frozen=True, array_like=True):
+    """A start as c2299a7 decodes it."""
+
+    endpoint: EndpointId
+    age_ms: int
+
+
+def test_news_of_an_earlier_build_are_read_and_it_reads_those_of_this_one() -> (
+    None
+):
+    """Guards an upgrade: starts have no origin there."""
+    news = decode_news(EARLIER_NEWS)
+    assert news.kind is NewsKind.ZONE
+    assert news.reports == (WireReport(EndpointId('e-1'), 2, 0, 4, 100, 50),)
+    assert news.starts == (WireStart(EndpointId('e-1'), 20, origin=0),)
+    assert news.pass_on == (InstanceId('a-1'),)
+    start = msgspec.msgpack.encode(WireStart(EndpointId('e-1'), 20, origin=7))
+    decoded = msgspec.msgpack.decode(start, type=EarlierStart)
+    assert decoded == EarlierStart(EndpointId('e-1'), 20)
+
+
 @pytest.mark.parametrize(
     'body',
     [
