--- a/tests/replication/test_disk_failure.py
+++ b/tests/replication/test_disk_failure.py
@@ -9,6 +9,7 @@
 import random
 import tempfile
 from typing import TYPE_CHECKING
+from unittest import mock
 
 import anyio
 import msgspec
@@ -22,7 +23,9 @@
     EntryKind,
     VoteRequest,
 )
+from acaciaramp.storage import journal
 from acaciaramp.storage.store import DiskStore
+from tests import virtual_time
 from tests.replication.fuzz import Recorder
 from tests.replication.test_group import (
     TIMING,
@@ -46,6 +49,7 @@
     TIMING, election_ms=60_000, request_ms=1_000
 )
 TIMEOUT_S = 10
+HANDOVER_S = 2
 
 
 class Disk:
@@ -84,8 +88,8 @@
     def append(self, first: int, entries: list[Entry]) -> None:
         """Write entries if there is space."""
         if self.disk.is_full and self.disk.tears_writes:
-            with (self.folder / 'journal').open('ab') as journal:
-                journal.write(b'ACRJ torn')
+            with (self.folder / 'journal').open('ab') as file:
+                file.write(b'ACRJ torn')
         self._require_space()
         super().append(first, entries)
 
@@ -224,8 +228,11 @@
                 await scenario(make_cluster(folder), tasks)
             tasks.cancel_scope.cancel()
 
-    with tempfile.TemporaryDirectory() as folder:
-        anyio.run(functools.partial(run_scenario, pathlib.Path(folder)))
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        mock.patch.object(journal, 'run_sync', virtual_time.run_at_once),
+    ):
+        virtual_time.run(functools.partial(run_scenario, pathlib.Path(folder)))
 
 
 @pytest.mark.parametrize('tears_writes', [False, True])
@@ -294,7 +301,8 @@
         cluster.disks[leader.me.instance].is_full = True
         with pytest.raises((LeadershipLostError, NotLeaderError)):
             await leader.propose(b'lost')
-        await cluster.wait_for_leader_but(leader)
+        with anyio.fail_after(HANDOVER_S):
+            await cluster.wait_for_leader_but(leader)
 
     run(scenario, make_cluster)
 
--- a/tests/replication/test_group.py
+++ b/tests/replication/test_group.py
@@ -7,7 +7,6 @@
 import anyio
 import pytest
 
-from acaciaramp.clock import SystemClock
 from acaciaramp.ids import InstanceId
 from acaciaramp.replication import messages as msgs
 from acaciaramp.replication.errors import NotLeaderError, PeerError
@@ -15,6 +14,7 @@
 from acaciaramp.replication.members import Member
 from acaciaramp.replication.store import NullStore
 from acaciaramp.replication.timing import Timing
+from tests import virtual_time
 from tests.replication.fuzz import Recorder
 
 if TYPE_CHECKING:
@@ -54,7 +54,7 @@
             store=store or NullStore(),
             state_machine=state_machine or Recorder(),
             send=self._send,
-            clock=SystemClock(),
+            clock=virtual_time.LoopClock(),
             timing=self.timing,
             tolerated_disk_losses=1,
             eligible=lambda: list(self.groups),
